fpsettings, fptls, fpcommand, fpctl: add first versions for wiring

Cause: the wiring of a process needs settings, TLS listeners and both command lines before it can be written. Ruled out: json.Unmarshal into structs, because it stops at the first fault and accepts a field that stands twice. The reader walks the decoded tree instead and collects every fault with path, value and accepted values. Ruled out: host name verification of VMs, because VMs are dialled by IP number; the chain and a listed identity are verified in its place.

--- /dev/null
+++ b/internal/config/fpsettings/check.go
@@ -0,0 +1,178 @@
+package fpsettings
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// check reports fields that contradict each other. Fields that could not be read are zero and are not reported again.
+func (set *Settings) check(doc *document) {
+	set.checkSelf(doc)
+	set.checkVMs(doc)
+	set.checkGroups(doc)
+	set.checkSecurity(doc)
+}
+
+func (set *Settings) checkSelf(doc *document) {
+	if set.HasRole(RoleControl) && set.dataFolder == "" {
+		doc.fault("dataFolder", nil, "the path of a folder, because roles has control")
+	}
+	if set.HasRole(RoleEntry) && !set.callers.address.IsValid() && !doc.reported("listeners.callers") {
+		doc.fault("listeners.callers", nil, "a listener, because roles has entry")
+	}
+	if len(set.roles) > 0 && !set.HasRole(RoleEntry) && set.callers.address.IsValid() {
+		doc.fault("listeners.callers", set.callers.address.String(), "no listener, because roles lacks entry")
+	}
+	vm, found := set.FindVM(set.vm)
+	if set.vm == "" || len(set.vms) == 0 {
+		return
+	}
+	if !found {
+		doc.fault("vm", set.vm, "one of "+strings.Join(set.vmNames(), ", "))
+		return
+	}
+	set.compare(doc, "dataCentre", set.dataCentre, vm.dataCentre)
+	set.compare(doc, "region", set.region, vm.region)
+	set.compare(doc, "roles", sortedRoles(set.roles), sortedRoles(vm.roles))
+	set.compareAddress(doc, "listeners.peers.address", set.peers.address, vm.peerAddress)
+	set.compareAddress(doc, "listeners.operators.address", set.operators.address, vm.operatorAddress)
+}
+
+// reported states whether a fault of the field or of a part of it is known already.
+func (doc *document) reported(field string) bool {
+	return slices.ContainsFunc(doc.faults, func(fau Fault) bool {
+		return strings.HasPrefix(fau.field, field)
+	})
+}
+
+func (set *Settings) vmNames() []string {
+	names := make([]string, 0, len(set.vms))
+	for _, vm := range set.vms {
+		names = append(names, vm.name)
+	}
+	return names
+}
+
+func sortedRoles(roles []Role) string {
+	var texts []string
+	for _, rol := range roles {
+		texts = append(texts, string(rol))
+	}
+	slices.Sort(texts)
+	return strings.Join(texts, ", ")
+}
+
+func (set *Settings) compare(doc *document, field, got, listed string) {
+	if got != "" && listed != "" && got != listed {
+		doc.fault(field, got, fmt.Sprintf("%s, as in the entry of this VM in vms", listed))
+	}
+}
+
+// compareAddress allows a listener on all interfaces behind the listed address.
+func (set *Settings) compareAddress(doc *document, field string, got, listed netip.AddrPort) {
+	if !got.IsValid() || !listed.IsValid() || got == listed {
+		return
+	}
+	if got.Addr().IsUnspecified() && got.Port() == listed.Port() {
+		return
+	}
+	doc.fault(field, got.String(), fmt.Sprintf("%s, as in the entry of this VM in vms", listed))
+}
+
+func (set *Settings) checkVMs(doc *document) {
+	names := map[string]bool{}
+	regions := map[string]string{}
+	addresses := map[netip.AddrPort]string{}
+	for at, vm := range set.vms {
+		path := index("vms", at)
+		if vm.name != "" && names[vm.name] {
+			doc.fault(path+".name", vm.name, "each name once")
+		}
+		names[vm.name] = true
+		if known, ok := regions[vm.dataCentre]; ok && known != vm.region && vm.region != "" {
+			doc.fault(path+".region", vm.region, fmt.Sprintf("%s, as for the first VM of data centre %s", known, vm.dataCentre))
+		} else if vm.dataCentre != "" && vm.region != "" {
+			regions[vm.dataCentre] = vm.region
+		}
+		claimAddress(doc, addresses, path+".peerAddress", vm.peerAddress)
+		claimAddress(doc, addresses, path+".operatorAddress", vm.operatorAddress)
+	}
+}
+
+func claimAddress(doc *document, addresses map[netip.AddrPort]string, path string, adr netip.AddrPort) {
+	if !adr.IsValid() {
+		return
+	}
+	if other, taken := addresses[adr]; taken {
+		doc.fault(path, adr.String(), "an address that no other field has; "+other+" has it")
+		return
+	}
+	addresses[adr] = path
+}
+
+func (set *Settings) checkGroups(doc *document) {
+	names := map[string]bool{}
+	scopes := map[string]string{}
+	for at, gro := range set.groups {
+		path := index("groups", at)
+		if gro.name != "" && names[gro.name] {
+			doc.fault(path+".name", gro.name, "each name once")
+		}
+		names[gro.name] = true
+		set.checkVoters(doc, path, gro)
+		set.checkScope(doc, path, gro, scopes)
+	}
+	if len(set.groups) > 0 && !names[RootGroup] {
+		doc.fault("groups", slices.Sorted(maps.Keys(names)), "a list with a group named "+RootGroup)
+	}
+}
+
+func (set *Settings) checkVoters(doc *document, path string, gro Group) {
+	for at, name := range gro.voters {
+		vm, found := set.FindVM(name)
+		if !found {
+			doc.fault(index(path+".voters", at), name, "the name of a VM in vms")
+		} else if len(vm.roles) > 0 && !vm.HasRole(RoleControl) {
+			doc.fault(index(path+".voters", at), name, "a VM with the role control")
+		}
+	}
+}
+
+func (set *Settings) checkScope(doc *document, path string, gro Group, scopes map[string]string) {
+	for at, dataCentre := range gro.scope {
+		field := index(path+".scope", at)
+		known := slices.ContainsFunc(set.vms, func(vm VM) bool { return vm.dataCentre == dataCentre })
+		if !known {
+			doc.fault(field, dataCentre, "a data centre of vms")
+		}
+		if other, taken := scopes[dataCentre]; taken {
+			doc.fault(field, dataCentre, "a data centre in no other scope; group "+other+" has it")
+		}
+		scopes[dataCentre] = gro.name
+	}
+}
+
+func (set *Settings) checkSecurity(doc *document) {
+	hasTLS := set.tls.certificate != "" || doc.reported("tls")
+	if hasTLS == set.plainTextLoopback {
+		doc.fault("plainTextLoopback", set.plainTextLoopback, "either tls or plainTextLoopback, and not both")
+	}
+	if !set.plainTextLoopback {
+		return
+	}
+	const accepted = "a loopback address, because plainTextLoopback is set"
+	check := func(path string, adr netip.AddrPort) {
+		if adr.IsValid() && !adr.Addr().IsLoopback() {
+			doc.fault(path, adr.String(), accepted)
+		}
+	}
+	check("listeners.peers.address", set.peers.address)
+	check("listeners.operators.address", set.operators.address)
+	for at, vm := range set.vms {
+		check(index("vms", at)+".peerAddress", vm.peerAddress)
+		check(index("vms", at)+".operatorAddress", vm.operatorAddress)
+	}
+}
--- /dev/null
+++ b/internal/config/fpsettings/reader.go
@@ -0,0 +1,355 @@
+package fpsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxDepth bounds the nesting of a settings file, whose own depth is 4. json.Decoder.Token has no bound, so without this
+// one a file of opening brackets would exhaust the stack.
+const maxDepth = 16
+
+const missing = "(missing)"
+
+// namePattern is shared by names of VMs, groups, data centres and regions, because they become file names, header values
+// and labels of counters.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const acceptedName = "1 to 63 lower-case letters, digits and inner hyphens"
+
+// document is a settings file while it is read. It collects faults instead of stopping at the first one.
+type document struct {
+	faults []Fault
+}
+
+func (doc *document) fault(path string, value any, accepted string) {
+	doc.faults = append(doc.faults, NewFault(path, show(value), accepted))
+}
+
+// show returns the JSON form of a value, shortened to a length that fits one line.
+func show(value any) string {
+	if value == nil {
+		return missing
+	}
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(value); err != nil {
+		return fmt.Sprint(value)
+	}
+	text := []rune(strings.TrimSpace(buf.String()))
+	const longest = 120
+	if len(text) > longest {
+		return string(text[:longest]) + "…"
+	}
+	return string(text)
+}
+
+// null stands for the JSON literal, which differs from an absent field.
+type null struct{}
+
+func (null) MarshalJSON() ([]byte, error) { return []byte("null"), nil }
+
+// decode returns the tree of a JSON document. Unlike json.Unmarshal it reports a field that stands twice.
+func (doc *document) decode(data []byte) (any, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	value, err := doc.decodeValue(dec, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("text after the end of the document")
+	}
+	return value, nil
+}
+
+func (doc *document) decodeValue(dec *json.Decoder, path string, depth int) (any, error) {
+	if depth > maxDepth {
+		return nil, errors.Newf("more than %d levels", maxDepth)
+	}
+	tok, err := dec.Token()
+	if err != nil {
+		return nil, err
+	}
+	switch tok {
+	case json.Delim('{'):
+		return doc.decodeObject(dec, path, depth)
+	case json.Delim('['):
+		return doc.decodeList(dec, path, depth)
+	case nil:
+		return null{}, nil
+	}
+	return tok, nil
+}
+
+func (doc *document) decodeObject(dec *json.Decoder, path string, depth int) (any, error) {
+	fields := map[string]any{}
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return nil, err
+		}
+		name, ok := tok.(string)
+		if !ok {
+			return nil, errors.Newf("field name %v is not a string", tok)
+		}
+		value, err := doc.decodeValue(dec, join(path, name), depth+1)
+		if err != nil {
+			return nil, err
+		}
+		if _, twice := fields[name]; twice {
+			doc.fault(join(path, name), value, "the field once")
+		}
+		fields[name] = value
+	}
+	_, err := dec.Token()
+	return fields, err
+}
+
+func (doc *document) decodeList(dec *json.Decoder, path string, depth int) (any, error) {
+	list := []any{}
+	for dec.More() {
+		value, err := doc.decodeValue(dec, index(path, len(list)), depth+1)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, value)
+	}
+	_, err := dec.Token()
+	return list, err
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func index(path string, at int) string {
+	return path + "[" + strconv.Itoa(at) + "]"
+}
+
+// object reads the fields of one JSON object. An absent or mistyped object reads as one without fields.
+type object struct {
+	doc    *document
+	path   string
+	fields map[string]any
+	known  map[string]bool
+	// silent suppresses faults of fields when the object itself has been reported.
+	silent bool
+}
+
+func (doc *document) object(path string, value any) *object {
+	fields, ok := value.(map[string]any)
+	if !ok {
+		doc.fault(path, value, "an object")
+	}
+	return &object{
+		doc:    doc,
+		path:   path,
+		fields: fields,
+		known:  map[string]bool{},
+		silent: !ok,
+	}
+}
+
+// close reports the fields that no method has asked for.
+func (obj *object) close() {
+	for _, name := range slices.Sorted(maps.Keys(obj.fields)) {
+		if !obj.known[name] {
+			known := strings.Join(slices.Sorted(maps.Keys(obj.known)), ", ")
+			obj.fault(name, obj.fields[name], "no such field; the fields are "+known)
+		}
+	}
+}
+
+func (obj *object) fault(name string, value any, accepted string) {
+	if !obj.silent {
+		obj.doc.fault(join(obj.path, name), value, accepted)
+	}
+}
+
+func (obj *object) take(name string) (value any, present bool) {
+	obj.known[name] = true
+	value, present = obj.fields[name]
+	return value, present
+}
+
+func (obj *object) object(name string) *object {
+	value, _ := obj.take(name)
+	if obj.silent {
+		return &object{
+			doc:    obj.doc,
+			path:   join(obj.path, name),
+			known:  map[string]bool{},
+			silent: true,
+		}
+	}
+	return obj.doc.object(join(obj.path, name), value)
+}
+
+// optional returns nil for an absent object.
+func (obj *object) optional(name string) *object {
+	if _, present := obj.take(name); !present {
+		return nil
+	}
+	return obj.object(name)
+}
+
+// defaulted returns an empty object for an absent one, so that every field gets its default.
+func (obj *object) defaulted(name string) *object {
+	if sub := obj.optional(name); sub != nil {
+		return sub
+	}
+	return obj.doc.object(join(obj.path, name), map[string]any{})
+}
+
+// objects calls read for each object of a list.
+func (obj *object) objects(name string, accepted string, read func(item *object)) {
+	value, _ := obj.take(name)
+	list, ok := value.([]any)
+	if !ok || len(list) == 0 {
+		obj.fault(name, value, accepted)
+		return
+	}
+	for at, entry := range list {
+		item := obj.doc.object(index(join(obj.path, name), at), entry)
+		read(item)
+		item.close()
+	}
+}
+
+func (obj *object) text(name, accepted string, fits func(text string) bool) string {
+	value, _ := obj.take(name)
+	text, ok := value.(string)
+	if !ok || !fits(text) {
+		obj.fault(name, value, accepted)
+		return ""
+	}
+	return text
+}
+
+func (obj *object) name(name string) string {
+	return obj.text(name, acceptedName, namePattern.MatchString)
+}
+
+func (obj *object) choice(name, fallback string, choices ...string) string {
+	if _, present := obj.take(name); !present {
+		return fallback
+	}
+	return obj.text(name, strings.Join(choices, ", "), func(text string) bool {
+		return slices.Contains(choices, text)
+	})
+}
+
+// path returns the empty string for an absent field.
+func (obj *object) file(name string) string {
+	if _, present := obj.take(name); !present {
+		return ""
+	}
+	return obj.text(name, "a path", func(text string) bool { return text != "" && !strings.ContainsRune(text, 0) })
+}
+
+const acceptedAddress = "an IP number and a port from 1 to 65535, such as 127.0.0.1:7000"
+
+func (obj *object) address(name string) netip.AddrPort {
+	text := obj.text(name, acceptedAddress, func(text string) bool {
+		adr, err := netip.ParseAddrPort(text)
+		return err == nil && adr.Port() != 0
+	})
+	adr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(adr.Addr().Unmap(), adr.Port())
+}
+
+// texts reads a list of distinct texts; an absent list is empty.
+func (obj *object) texts(name, accepted string, fits func(text string) bool) []string {
+	value, present := obj.take(name)
+	if !present {
+		return nil
+	}
+	list, ok := value.([]any)
+	if !ok {
+		obj.fault(name, value, "a list of "+accepted)
+		return nil
+	}
+	var texts []string
+	for at, entry := range list {
+		text, ok := entry.(string)
+		if !ok || !fits(text) {
+			obj.fault(index(name, at), entry, accepted)
+			continue
+		}
+		if slices.Contains(texts, text) {
+			obj.fault(index(name, at), entry, "each entry once")
+			continue
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+func (obj *object) flag(name string) bool {
+	value, present := obj.take(name)
+	if !present {
+		return false
+	}
+	flag, ok := value.(bool)
+	if !ok {
+		obj.fault(name, value, "true or false")
+	}
+	return flag
+}
+
+// countRange bounds a number.
+type countRange struct {
+	fallback, low, high int64
+}
+
+func (obj *object) count(name string, ran countRange) int64 {
+	value, present := obj.take(name)
+	if !present {
+		return ran.fallback
+	}
+	num, _ := value.(json.Number)
+	count, err := strconv.ParseInt(string(num), 10, 64)
+	if err != nil || count < ran.low || count > ran.high {
+		obj.fault(name, value, fmt.Sprintf("a whole number from %d to %d", ran.low, ran.high))
+		return ran.fallback
+	}
+	return count
+}
+
+// durationRange bounds a duration.
+type durationRange struct {
+	fallback, low, high time.Duration
+}
+
+func (obj *object) duration(name string, ran durationRange) time.Duration {
+	value, present := obj.take(name)
+	if !present {
+		return ran.fallback
+	}
+	text, _ := value.(string)
+	dur, err := time.ParseDuration(text)
+	if err != nil || dur < ran.low || dur > ran.high {
+		obj.fault(name, value, fmt.Sprintf("a duration from %q to %q", ran.low, ran.high))
+		return ran.fallback
+	}
+	return dur
+}
--- /dev/null
+++ b/internal/node/fpcommand/check.go
@@ -0,0 +1,96 @@
+package fpcommand
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
+)
+
+type checkCommand struct {
+	Settings []string `arg:"" help:"Paths of settings files."`
+}
+
+// Run checks every file, prints what each describes, and returns the faults of all files together.
+func (com *checkCommand) Run(pro *Program) error {
+	var failed []string
+	for _, path := range com.Settings {
+		if err := pro.checkFile(path); err != nil {
+			failed = append(failed, err.Error())
+		}
+	}
+	if len(failed) > 0 {
+		return fperror.New(fperror.InvalidSettings, "%s", strings.Join(failed, "\n"))
+	}
+	return nil
+}
+
+func (pro *Program) checkFile(path string) error {
+	set, err := fpsettings.Load(path)
+	if err != nil {
+		return err
+	}
+	tab := tabwriter.NewWriter(pro.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tab, "%s\tok\n", path)
+	describe(tab, set)
+	err = pro.checkInitial(tab, set)
+	if flushErr := tab.Flush(); flushErr != nil && err == nil {
+		err = flushErr
+	}
+	return err
+}
+
+func describe(out io.Writer, set *fpsettings.Settings) {
+	fmt.Fprintf(out, "  VM\t%s, data centre %s, region %s\n", set.VM(), set.DataCentre(), set.Region())
+	var roles []string
+	for _, rol := range set.Roles() {
+		roles = append(roles, string(rol))
+	}
+	fmt.Fprintf(out, "  roles\t%s\n", strings.Join(roles, ", "))
+	if set.HasRole(fpsettings.RoleEntry) {
+		fmt.Fprintf(out, "  callers\t%s\n", set.Callers().Address())
+	}
+	security := "mutual TLS"
+	if set.PlainTextLoopback() {
+		security = "plain text on loopback"
+	}
+	fmt.Fprintf(out, "  peers\t%s, %s\n", set.Peers().Address(), security)
+	fmt.Fprintf(out, "  operators\t%s, %s\n", set.Operators().Address(), security)
+	fmt.Fprintf(out, "  VMs\t%d\n", len(set.VMs()))
+	for _, gro := range set.Groups() {
+		scope := "none"
+		if len(gro.Scope()) > 0 {
+			scope = strings.Join(gro.Scope(), ", ")
+		}
+		fmt.Fprintf(out, "  group %s\tvoters %s; scope %s\n", gro.Name(), strings.Join(gro.Voters(), ", "), scope)
+	}
+}
+
+func (pro *Program) checkInitial(out io.Writer, set *fpsettings.Settings) error {
+	path := set.InitialConfiguration()
+	if path == "" {
+		fmt.Fprintf(out, "  initial configuration\tnone\n")
+		return nil
+	}
+	cfg, err := fpsettings.LoadConfiguration(path)
+	if err != nil {
+		return err
+	}
+	name := filepath.Base(path)
+	if err := fpsettings.AsError(fperror.InvalidConfiguration, name, set.CheckConfiguration(cfg)); err != nil {
+		return err
+	}
+	if pro.CheckSchema == nil {
+		fmt.Fprintf(out, "  initial configuration\t%s, %d services, schema not checked in this build\n", name, len(cfg.GetServices()))
+		return nil
+	}
+	if err := pro.CheckSchema(cfg); err != nil {
+		return fperror.Wrap(fperror.InvalidConfiguration, err, "%s: schema", name)
+	}
+	fmt.Fprintf(out, "  initial configuration\t%s, %d services, schema ok\n", name, len(cfg.GetServices()))
+	return nil
+}
--- /dev/null
+++ b/internal/node/fpcommand/program.go
@@ -0,0 +1,168 @@
+// Package fpcommand is the command line of the daemon foxtailpulley.
+package fpcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
+)
+
+// The exit codes of the daemon, as listed in docs/operators.md.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+	ExitInvalid = 3
+)
+
+// Command is a subcommand with its own kong flags. Run ends early when ctx ends, which the first signal causes.
+type Command interface {
+	Run(ctx context.Context, out io.Writer) error
+}
+
+// Program is the daemon with its parts filled in by main. A part that is nil answers with an error.
+type Program struct {
+	// RunVM runs one VM until it has stopped. It handles signals itself, because a stop drains first.
+	RunVM func(ctx context.Context, set *fpsettings.Settings, log *zap.Logger) error
+	// CheckSchema checks the schema of a configuration and its services against it; nil skips this check.
+	CheckSchema func(cfg *fpoperator.Configuration) error
+	// Demo and Load are pointers to structs with kong tags.
+	Demo   Command
+	Load   Command
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+type commandLine struct {
+	Run     runCommand     `cmd:"" help:"Run one VM until it is told to stop."`
+	Check   checkCommand   `cmd:"" help:"Check settings files and their initial configurations."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+// Main runs the command of args and returns the exit code.
+func (pro *Program) Main(ctx context.Context, args []string) int {
+	exit := -1
+	par, err := kong.New(
+		&commandLine{},
+		kong.Name("foxtailpulley"),
+		kong.Description("A router for servers that own keys exclusively."),
+		kong.Writers(pro.Stdout, pro.Stderr),
+		kong.Exit(func(code int) { exit = code }),
+		kong.DynamicCommand("demo", "Run a small deployment with stand-in upstreams in one process.", "", orMissing(pro.Demo, "demo")),
+		kong.DynamicCommand("load", "Send load to a deployment and report latencies.", "", orMissing(pro.Load, "load")),
+		kong.Bind(pro),
+	)
+	if err != nil {
+		return pro.fail(ExitFailure, err)
+	}
+	kct, err := par.Parse(args)
+	if exit >= 0 {
+		return exit
+	}
+	if err != nil {
+		return pro.fail(ExitUsage, err)
+	}
+	if !strings.HasPrefix(kct.Command(), "run") {
+		var stop context.CancelFunc
+		ctx, stop = signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+	}
+	kct.BindTo(ctx, (*context.Context)(nil))
+	kct.BindTo(pro.Stdout, (*io.Writer)(nil))
+	if err := kct.Run(); err != nil {
+		return pro.fail(exitCode(err), err)
+	}
+	return ExitOK
+}
+
+func (pro *Program) fail(code int, err error) int {
+	fmt.Fprintf(pro.Stderr, "foxtailpulley: %v\n", err)
+	return code
+}
+
+func exitCode(err error) int {
+	switch fperror.KindOf(err) {
+	case fperror.InvalidSettings, fperror.InvalidConfiguration:
+		return ExitInvalid
+	default:
+		return ExitFailure
+	}
+}
+
+// missingCommand stands for a part that main has not filled in.
+type missingCommand struct {
+	name string
+}
+
+func (com *missingCommand) Run(context.Context, io.Writer) error {
+	return fperror.New(fperror.Internal, "the command %s is not part of this build", com.name)
+}
+
+func orMissing(com Command, name string) Command {
+	if com != nil {
+		return com
+	}
+	return &missingCommand{
+		name: name,
+	}
+}
+
+type runCommand struct {
+	Settings string `arg:"" help:"Path of the settings file."`
+}
+
+// Run starts the VM that the settings file describes.
+func (com *runCommand) Run(ctx context.Context, pro *Program) error {
+	set, err := fpsettings.Load(com.Settings)
+	if err != nil {
+		return err
+	}
+	if pro.RunVM == nil {
+		return fperror.New(fperror.Internal, "the command run is not part of this build")
+	}
+	log := newLog(set, pro.Stderr)
+	defer func() { _ = log.Sync() }()
+	return pro.RunVM(ctx, set, log)
+}
+
+// newLog returns a logger that writes JSON lines with the name of the VM.
+func newLog(set *fpsettings.Settings, out io.Writer) *zap.Logger {
+	level, err := zapcore.ParseLevel(set.LogLevel())
+	if err != nil {
+		level = zapcore.InfoLevel
+	}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	enc.TimeKey = "time"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(zapcore.AddSync(out)), level)
+	return zap.New(core).With(zap.String("vm", set.VM()))
+}
+
+type versionCommand struct{}
+
+// Run prints the version of the module and the revision it was built from, as far as the build records them.
+func (com *versionCommand) Run(out io.Writer) error {
+	version, revision, goVersion := "unknown", "unknown", "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version, goVersion = info.Main.Version, info.GoVersion
+		for _, entry := range info.Settings {
+			if entry.Key == "vcs.revision" {
+				revision = entry.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(out, "foxtailpulley %s revision %s %s\n", version, revision, goVersion)
+	return err
+}
--- /dev/null
+++ b/internal/node/fpctl/call.go
@@ -0,0 +1,211 @@
+package fpctl
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator/fpoperatorconnect"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
+)
+
+// The exit codes of foxtailctl, as listed in docs/operators.md.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitUnconfirmed = 6
+	ExitUnknown     = 7
+	ExitDenied      = 8
+)
+
+// errorHeader carries the error kind of an answer.
+const errorHeader = "Foxtailpulley-Error"
+
+// caller sends requests to the addresses in turn.
+type caller struct {
+	addresses []string
+	timeout   time.Duration
+	dial      func(address string) fpoperatorconnect.OperatorServiceClient
+}
+
+func newCaller(cfg fptls.ClientConfig, addresses []string, timeout time.Duration) *caller {
+	client := fptls.NewClient(cfg)
+	scheme := "https://"
+	if cfg.Store == nil {
+		scheme = "http://"
+	}
+	return &caller{
+		addresses: addresses,
+		timeout:   timeout,
+		dial: func(address string) fpoperatorconnect.OperatorServiceClient {
+			return fpoperatorconnect.NewOperatorServiceClient(client, scheme+address)
+		},
+	}
+}
+
+// effect states what a request may have done when its answer is lost.
+type effect int
+
+const (
+	// readOnly requests change nothing.
+	readOnly effect = iota
+	// resendable requests carry a request id: another VM returns the first answer.
+	resendable
+	// changing requests carry none, so they go to another VM only when they certainly did not run.
+	changing
+)
+
+// callError is the last error of a request, with its effect.
+type callError struct {
+	cause   error
+	effect  effect
+	address string
+}
+
+func (err *callError) Error() string { return err.address + ": " + message(err.cause) }
+
+func (err *callError) Unwrap() error { return err.cause }
+
+// send calls one address after the other until one answers for good.
+func send[T any](
+	ctx context.Context,
+	cal *caller,
+	eff effect,
+	wait time.Duration,
+	call func(ctx context.Context, cli fpoperatorconnect.OperatorServiceClient) (*connect.Response[T], error),
+) (*T, error) {
+	var last *callError
+	for _, address := range cal.addresses {
+		res, err := sendOne(ctx, cal.timeout+wait, cal.dial(address), call)
+		if err == nil {
+			return res.Msg, nil
+		}
+		last = mergeErrors(last, &callError{
+			cause:   err,
+			effect:  eff,
+			address: address,
+		})
+		if ctx.Err() != nil || !triesNext(err, eff) {
+			break
+		}
+	}
+	return nil, last
+}
+
+// mergeErrors prefers an error after which the outcome is unknown, because a later refusal does not undo an earlier
+// request that may have run.
+func mergeErrors(last, next *callError) *callError {
+	if last != nil && exitCode(last) == ExitUnknown && isNotRun(next.cause) {
+		return last
+	}
+	return next
+}
+
+func sendOne[T any](
+	ctx context.Context,
+	timeout time.Duration,
+	cli fpoperatorconnect.OperatorServiceClient,
+	call func(ctx context.Context, cli fpoperatorconnect.OperatorServiceClient) (*connect.Response[T], error),
+) (*connect.Response[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return call(ctx, cli)
+}
+
+// triesNext reports whether another VM may answer better and may be asked.
+func triesNext(err error, eff effect) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted:
+		return eff != changing || isNotRun(err)
+	default:
+		return false
+	}
+}
+
+// isNotRun reports whether a failed request certainly changed nothing: the connection was never made, or the answer
+// carries an error kind that says so.
+func isNotRun(err error) bool {
+	if kin, ok := kindOf(err); ok {
+		return kin.Answer().Outcome() == fperror.NotRun
+	}
+	var operation *net.OpError
+	// "remote error" is the TLS alert of a server that refuses the certificate, which it does before it reads a request.
+	return errors.As(err, &operation) && (operation.Op == "dial" || operation.Op == "remote error")
+}
+
+// kindOf returns the error kind of an answer, or of an error made on this side of the connection.
+func kindOf(err error) (fperror.Kind, bool) {
+	var answer *connect.Error
+	if errors.As(err, &answer) {
+		if kin, ok := fperror.Parse(answer.Meta().Get(errorHeader)); ok {
+			return kin, true
+		}
+	}
+	var local *fperror.Error
+	if errors.As(err, &local) {
+		return local.Kind(), true
+	}
+	return fperror.Internal, false
+}
+
+// errorName returns the error kind, or else the status code.
+func errorName(err error) string {
+	if kin, ok := kindOf(err); ok {
+		return kin.String()
+	}
+	var answer *connect.Error
+	if errors.As(err, &answer) {
+		return answer.Code().String()
+	}
+	return "failed"
+}
+
+// message returns the text of an error without the status code.
+func message(err error) string {
+	var call *callError
+	if errors.As(err, &call) {
+		return call.address + ": " + message(call.cause)
+	}
+	var answer *connect.Error
+	if errors.As(err, &answer) {
+		return answer.Message()
+	}
+	return err.Error()
+}
+
+func exitCode(err error) int {
+	var call *callError
+	if !errors.As(err, &call) {
+		if fperror.Is(err, fperror.InvalidSettings) || fperror.Is(err, fperror.InvalidConfiguration) {
+			return ExitInvalid
+		}
+		return ExitFailure
+	}
+	code := connect.CodeOf(call.cause)
+	if kin, ok := kindOf(call.cause); ok {
+		code = kin.Answer().Code()
+	}
+	switch code {
+	case connect.CodeInvalidArgument:
+		return ExitInvalid
+	case connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
+		return ExitConflict
+	case connect.CodePermissionDenied, connect.CodeUnauthenticated:
+		return ExitDenied
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted, connect.CodeCanceled:
+		if call.effect == readOnly || isNotRun(call.cause) {
+			return ExitUnavailable
+		}
+		return ExitUnknown
+	default:
+		return ExitFailure
+	}
+}
