--- /dev/null
+++ b/internal/route/fpquarantine/digest.go
@@ -0,0 +1,39 @@
+package fpquarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"hash"
+)
+
+// digestBytes is the length of a digest of a body; 128 bits keep accidental matches out.
+const digestBytes = 16
+
+// Digest identifies a request without an idempotency key by its method and body. The body is written in the pieces in
+// which it passes. Use NewDigest to create one.
+type Digest struct {
+	sum hash.Hash
+}
+
+// NewDigest returns the digest of a request for a method, so far without a body.
+func NewDigest(method string) *Digest {
+	dig := &Digest{
+		sum: sha256.New(),
+	}
+	dig.sum.Write([]byte(method))
+	dig.sum.Write([]byte{0})
+	return dig
+}
+
+// Write adds a piece of the body. It never fails.
+func (dig *Digest) Write(piece []byte) (int, error) { return dig.sum.Write(piece) }
+
+// String returns the identity of the request.
+func (dig *Digest) String() string {
+	return "body:" + hex.EncodeToString(dig.sum.Sum(nil)[:digestBytes])
+}
+
+// KeyIdentity returns the identity of a request with an idempotency key.
+func KeyIdentity(idempotencyKey string) string {
+	return "key:" + idempotencyKey
+}
