--- a/internal/wire/fpwire/fpwireconnect/peer.connect.go
+++ b/internal/wire/fpwire/fpwireconnect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServiceSubmitProcedure = "/foxtailpulley.peer.v1.PeerService/Submit"
 	// PeerServiceRelayProcedure is the fully-qualified name of the PeerService's Relay RPC.
 	PeerServiceRelayProcedure = "/foxtailpulley.peer.v1.PeerService/Relay"
+	// PeerServicePassGrantProcedure is the fully-qualified name of the PeerService's PassGrant RPC.
+	PeerServicePassGrantProcedure = "/foxtailpulley.peer.v1.PeerService/PassGrant"
 	// PeerServiceOperateProcedure is the fully-qualified name of the PeerService's Operate RPC.
 	PeerServiceOperateProcedure = "/foxtailpulley.peer.v1.PeerService/Operate"
 )
@@ -56,6 +58,8 @@
 	Submit(context.Context, *connect.Request[fpwire.SubmitRequest]) (*connect.Response[fpwire.SubmitResponse], error)
 	// Relay passes an announcement to a voter of the upstream's group.
 	Relay(context.Context, *connect.Request[fpwire.RelayRequest]) (*connect.Response[fpwire.RelayResponse], error)
+	// PassGrant sends a grant to an upstream that the leader cannot reach.
+	PassGrant(context.Context, *connect.Request[fpwire.PassGrantRequest]) (*connect.Response[fpwire.PassGrantResponse], error)
 	// Operate runs an operator request that only a group's leader can run.
 	Operate(context.Context, *connect.Request[fpwire.OperateRequest]) (*connect.Response[fpwire.OperateResponse], error)
 }
@@ -95,6 +99,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Relay")),
 			connect.WithClientOptions(opts...),
 		),
+		passGrant: connect.NewClient[fpwire.PassGrantRequest, fpwire.PassGrantResponse](
+			httpClient,
+			baseURL+PeerServicePassGrantProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("PassGrant")),
+			connect.WithClientOptions(opts...),
+		),
 		operate: connect.NewClient[fpwire.OperateRequest, fpwire.OperateResponse](
 			httpClient,
 			baseURL+PeerServiceOperateProcedure,
@@ -106,11 +116,12 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	step    *connect.Client[fpwire.StepRequest, fpwire.StepResponse]
-	poll    *connect.Client[fpwire.PollRequest, fpwire.PollResponse]
-	submit  *connect.Client[fpwire.SubmitRequest, fpwire.SubmitResponse]
-	relay   *connect.Client[fpwire.RelayRequest, fpwire.RelayResponse]
-	operate *connect.Client[fpwire.OperateRequest, fpwire.OperateResponse]
+	step      *connect.Client[fpwire.StepRequest, fpwire.StepResponse]
+	poll      *connect.Client[fpwire.PollRequest, fpwire.PollResponse]
+	submit    *connect.Client[fpwire.SubmitRequest, fpwire.SubmitResponse]
+	relay     *connect.Client[fpwire.RelayRequest, fpwire.RelayResponse]
+	passGrant *connect.Client[fpwire.PassGrantRequest, fpwire.PassGrantResponse]
+	operate   *connect.Client[fpwire.OperateRequest, fpwire.OperateResponse]
 }
 
 // Step calls foxtailpulley.peer.v1.PeerService.Step.
@@ -133,6 +144,11 @@
 	return c.relay.CallUnary(ctx, req)
 }
 
+// PassGrant calls foxtailpulley.peer.v1.PeerService.PassGrant.
+func (c *peerServiceClient) PassGrant(ctx context.Context, req *connect.Request[fpwire.PassGrantRequest]) (*connect.Response[fpwire.PassGrantResponse], error) {
+	return c.passGrant.CallUnary(ctx, req)
+}
+
 // Operate calls foxtailpulley.peer.v1.PeerService.Operate.
 func (c *peerServiceClient) Operate(ctx context.Context, req *connect.Request[fpwire.OperateRequest]) (*connect.Response[fpwire.OperateResponse], error) {
 	return c.operate.CallUnary(ctx, req)
@@ -148,6 +164,8 @@
 	Submit(context.Context, *connect.Request[fpwire.SubmitRequest]) (*connect.Response[fpwire.SubmitResponse], error)
 	// Relay passes an announcement to a voter of the upstream's group.
 	Relay(context.Context, *connect.Request[fpwire.RelayRequest]) (*connect.Response[fpwire.RelayResponse], error)
+	// PassGrant sends a grant to an upstream that the leader cannot reach.
+	PassGrant(context.Context, *connect.Request[fpwire.PassGrantRequest]) (*connect.Response[fpwire.PassGrantResponse], error)
 	// Operate runs an operator request that only a group's leader can run.
 	Operate(context.Context, *connect.Request[fpwire.OperateRequest]) (*connect.Response[fpwire.OperateResponse], error)
 }
@@ -183,6 +201,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Relay")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServicePassGrantHandler := connect.NewUnaryHandler(
+		PeerServicePassGrantProcedure,
+		svc.PassGrant,
+		connect.WithSchema(peerServiceMethods.ByName("PassGrant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceOperateHandler := connect.NewUnaryHandler(
 		PeerServiceOperateProcedure,
 		svc.Operate,
@@ -199,6 +223,8 @@
 			peerServiceSubmitHandler.ServeHTTP(w, r)
 		case PeerServiceRelayProcedure:
 			peerServiceRelayHandler.ServeHTTP(w, r)
+		case PeerServicePassGrantProcedure:
+			peerServicePassGrantHandler.ServeHTTP(w, r)
 		case PeerServiceOperateProcedure:
 			peerServiceOperateHandler.ServeHTTP(w, r)
 		default:
@@ -226,6 +252,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.peer.v1.PeerService.Relay is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) PassGrant(context.Context, *connect.Request[fpwire.PassGrantRequest]) (*connect.Response[fpwire.PassGrantResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.peer.v1.PeerService.PassGrant is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Operate(context.Context, *connect.Request[fpwire.OperateRequest]) (*connect.Response[fpwire.OperateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.peer.v1.PeerService.Operate is not implemented"))
 }
