fpgrant: add the state machines of a group's control

Cause: the leader's goroutine and its RPCs need an API to be wired against. Ruled out: tokens from announcements as a basis of leases, because they do not show that grants reach the upstream; a delta by a scan of all slots, because it costs every poll the size of the table.

--- /dev/null
+++ b/internal/control/fpgrant/table.go
@@ -0,0 +1,354 @@
+// Package fpgrant decides which upstream owns which slot. Table is the replicated part, Keeper the part that only the
+// leader of a group keeps in memory for one term.
+package fpgrant
+
+import (
+	"slices"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// MaxSplitKeys bounds the split keys of one group.
+const MaxSplitKeys = 512
+
+// maxTombstones bounds the removed split keys that are remembered for deltas. An older table gets the whole table.
+const maxTombstones = 1024
+
+// cell is the state of one slot or split key. Cells are addressed by their index in Table.cells; index 0 is unused, so
+// that 0 ends a list.
+type cell struct {
+	epoch   uint64
+	changed uint64 // index of the log entry of the last change; its term is looked up in Table.terms
+	older   uint32 // list of all cells by last change
+	newer   uint32
+	prev    uint32 // list of the owner's cells
+	next    uint32
+	owner   uint32
+	state   uint8
+	marked  bool // set during the check of a command, to find slots named twice
+}
+
+const (
+	stateAbsent    = uint8(fpwire.SlotState_SLOT_STATE_UNSPECIFIED)
+	stateFree      = uint8(fpwire.SlotState_SLOT_STATE_FREE)
+	stateOwned     = uint8(fpwire.SlotState_SLOT_STATE_OWNED)
+	stateReleasing = uint8(fpwire.SlotState_SLOT_STATE_RELEASING)
+)
+
+// span is a range of slots of one service whose cells are adjacent, beginning at base.
+type span struct {
+	service uint32
+	first   uint32
+	last    uint32
+	base    uint32
+}
+
+// homed is a service with slots homed in this group.
+type homed struct {
+	name  string
+	slots uint32
+	spans []span // ordered by first
+	// lastEpoch is the highest epoch of any slot that left the group. Slots enter with it, so epochs never repeat.
+	lastEpoch uint64
+}
+
+type splitName struct {
+	service uint32
+	number  uint32
+	key     string
+}
+
+type owner struct {
+	name  string
+	head  uint32
+	count uint32
+}
+
+type termStart struct {
+	term  uint64
+	index uint64
+}
+
+// Table is the replicated table of the slots and split keys of one group. The zero value is an empty table. It is not
+// safe for concurrent use.
+type Table struct {
+	version  Position
+	floor    Position // tables older than floor get the whole table
+	terms    []termStart
+	cells    []cell
+	newest   uint32
+	services []homed
+	byName   map[string]uint32
+	spans    []span // all spans, ordered by base
+	splits   map[splitName]uint32
+	names    map[uint32]splitName // names of split cells
+	dead     []uint32             // removed split cells, oldest first
+	targets  map[uint32]string    // targets of releasing cells
+	owners   []owner              // owners[0] stands for no owner
+	ownerIDs map[string]uint32
+	freeIDs  []uint32
+	homedNow int
+}
+
+// Slot is the state of one slot or split key.
+type Slot struct {
+	Service  string
+	Number   uint32
+	SplitKey string
+	Owner    string
+	Epoch    uint64
+	State    fpwire.SlotState
+	Target   string
+	Changed  Position
+}
+
+// Version returns the position of the last change.
+func (tab *Table) Version() Position { return tab.version }
+
+// Len returns the number of slots homed in the group, without split keys.
+func (tab *Table) Len() int { return tab.homedNow }
+
+// Splits returns the number of split keys.
+func (tab *Table) Splits() int { return len(tab.splits) }
+
+// Services returns the names of the services with slots in the group, ordered by name.
+func (tab *Table) Services() []string {
+	var names []string
+	for _, hom := range tab.services {
+		if len(hom.spans) > 0 {
+			names = append(names, hom.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Homed reports whether the slot is homed in the group.
+func (tab *Table) Homed(service string, number uint32) bool {
+	_, ok := tab.find(service, number, "")
+	return ok
+}
+
+// Slot returns the state of a slot or, with a split key, of that key.
+func (tab *Table) Slot(service string, number uint32, splitKey string) (Slot, bool) {
+	ref, ok := tab.find(service, number, splitKey)
+	if !ok {
+		return Slot{}, false
+	}
+	return tab.slot(ref), true
+}
+
+// Owned returns the number of slots and split keys of the owner.
+func (tab *Table) Owned(name string) int {
+	return int(tab.ownerOf(name).count)
+}
+
+// Touch moves the version to pos without a change of slots, so that entry VMs confirm what else the entry changed.
+func (tab *Table) Touch(pos Position) { tab.advance(pos) }
+
+// Apply changes slots. It changes nothing and returns an error of kind VersionConflict unless every slot has the
+// expected epoch and state and every change is a legal step.
+func (tab *Table) Apply(pos Position, upd *fpwire.UpdateSlots) error {
+	refs := make([]uint32, len(upd.GetUpdates()))
+	err := tab.check(upd, refs)
+	for _, ref := range refs {
+		tab.mark(ref, false)
+	}
+	if err != nil {
+		return err
+	}
+	tab.advance(pos)
+	for i, one := range upd.GetUpdates() {
+		tab.put(refs[i], one.GetEntry(), pos)
+	}
+	tab.prune()
+	return nil
+}
+
+// advance sets the version and remembers at which index the term began.
+func (tab *Table) advance(pos Position) {
+	if len(tab.cells) == 0 {
+		tab.init()
+	}
+	tab.version = pos
+	if last := len(tab.terms) - 1; last < 0 || tab.terms[last].term < pos.Term {
+		tab.terms = append(tab.terms, termStart{
+			term:  pos.Term,
+			index: pos.Index,
+		})
+	}
+}
+
+func (tab *Table) init() {
+	tab.cells = make([]cell, 1)
+	tab.owners = make([]owner, 1)
+	tab.byName = map[string]uint32{}
+	tab.splits = map[splitName]uint32{}
+	tab.names = map[uint32]splitName{}
+	tab.targets = map[uint32]string{}
+	tab.ownerIDs = map[string]uint32{}
+}
+
+func (tab *Table) mark(ref uint32, on bool) {
+	if ref != 0 {
+		tab.cells[ref].marked = on
+	}
+}
+
+// find returns the cell of a slot or split key.
+func (tab *Table) find(service string, number uint32, key string) (uint32, bool) {
+	id, ok := tab.byName[service]
+	if !ok {
+		return 0, false
+	}
+	if key != "" {
+		ref, found := tab.splits[splitName{
+			service: id,
+			number:  number,
+			key:     key,
+		}]
+		return ref, found
+	}
+	return tab.findSlot(id, number)
+}
+
+func (tab *Table) findSlot(id, number uint32) (uint32, bool) {
+	spans := tab.services[id].spans
+	at, exact := slices.BinarySearchFunc(spans, number, func(spa span, num uint32) int {
+		switch {
+		case spa.first < num:
+			return -1
+		case spa.first > num:
+			return 1
+		}
+		return 0
+	})
+	if !exact {
+		at--
+	}
+	if at < 0 || number > spans[at].last {
+		return 0, false
+	}
+	return spans[at].base + number - spans[at].first, true
+}
+
+// name returns the service, number and split key of a cell.
+func (tab *Table) name(ref uint32) splitName {
+	if nam, ok := tab.names[ref]; ok {
+		return nam
+	}
+	at, exact := slices.BinarySearchFunc(tab.spans, ref, func(spa span, want uint32) int {
+		switch {
+		case spa.base < want:
+			return -1
+		case spa.base > want:
+			return 1
+		}
+		return 0
+	})
+	if !exact {
+		at--
+	}
+	spa := tab.spans[at]
+	return splitName{
+		service: spa.service,
+		number:  spa.first + ref - spa.base,
+	}
+}
+
+// nameless reports whether a cell was a split key that has been forgotten since.
+func (tab *Table) nameless(ref uint32) bool {
+	if _, ok := tab.names[ref]; ok {
+		return false
+	}
+	nam := tab.name(ref)
+	at, ok := tab.findSlot(nam.service, nam.number)
+	return !ok || at != ref
+}
+
+// position returns the position of the last change of a cell.
+func (tab *Table) position(ref uint32) Position {
+	index := tab.cells[ref].changed
+	at, exact := slices.BinarySearchFunc(tab.terms, index, func(sta termStart, want uint64) int {
+		switch {
+		case sta.index < want:
+			return -1
+		case sta.index > want:
+			return 1
+		}
+		return 0
+	})
+	if !exact {
+		at--
+	}
+	if at < 0 {
+		return Position{}
+	}
+	return Position{
+		Term:  tab.terms[at].term,
+		Index: index,
+	}
+}
+
+func (tab *Table) slot(ref uint32) Slot {
+	nam := tab.name(ref)
+	cel := &tab.cells[ref]
+	return Slot{
+		Service:  tab.services[nam.service].name,
+		Number:   nam.number,
+		SplitKey: nam.key,
+		Owner:    tab.owners[cel.owner].name,
+		Epoch:    cel.epoch,
+		State:    fpwire.SlotState(cel.state),
+		Target:   tab.targets[ref],
+		Changed:  tab.position(ref),
+	}
+}
+
+func (tab *Table) entry(ref uint32) *fpwire.SlotEntry {
+	nam := tab.name(ref)
+	cel := &tab.cells[ref]
+	ent := &fpwire.SlotEntry{
+		Service: tab.services[nam.service].name,
+		Number:  nam.number,
+		Owner:   tab.owners[cel.owner].name,
+		Epoch:   cel.epoch,
+		State:   fpwire.SlotState(cel.state),
+		Removed: cel.state == stateAbsent,
+	}
+	if len(tab.targets) > 0 {
+		ent.Target = tab.targets[ref]
+	}
+	if nam.key != "" {
+		ent.SplitKey = []byte(nam.key)
+	}
+	return ent
+}
+
+// Delta returns the entries that changed after since. When since is zero, unknown or too old, full is true and the
+// entries are the whole table without the slots that never had an owner.
+func (tab *Table) Delta(since Position) (entries []*fpwire.SlotEntry, full bool) {
+	if since == (Position{}) || since.Less(tab.floor) || tab.version.Less(since) {
+		return tab.all(), true
+	}
+	for ref := tab.newest; ref != 0 && since.Less(tab.position(ref)); ref = tab.cells[ref].older {
+		entries = append(entries, tab.entry(ref))
+	}
+	return entries, false
+}
+
+func (tab *Table) all() []*fpwire.SlotEntry {
+	var entries []*fpwire.SlotEntry
+	for ref := tab.newest; ref != 0; ref = tab.cells[ref].older {
+		if tab.cells[ref].state != stateAbsent {
+			entries = append(entries, tab.entry(ref))
+		}
+	}
+	return entries
+}
+
+// conflict returns the error of a refused command.
+func conflict(format string, args ...any) error {
+	return fperror.New(fperror.VersionConflict, format, args...)
+}
