--- /dev/null
+++ b/internal/config/fpschema/faults.go
@@ -0,0 +1,47 @@
+package fpschema
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoregistry"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+)
+
+var errNotFound = protoregistry.NotFound
+
+// fault is one contradiction in a schema file.
+type fault struct {
+	line int
+	text string
+}
+
+// faults collects faults, so that an operator sees all of them at once.
+type faults struct {
+	all []fault
+}
+
+// add records a fault; line 0 stands for the whole file.
+func (fau *faults) add(line int, format string, args ...any) {
+	fau.all = append(fau.all, fault{
+		line: line,
+		text: fmt.Sprintf(format, args...),
+	})
+}
+
+func (fau *faults) any() bool { return len(fau.all) > 0 }
+
+// err returns one error with a line for each fault, ordered by line.
+func (fau *faults) err() error {
+	slices.SortStableFunc(fau.all, func(one, two fault) int {
+		return cmp.Compare(one.line, two.line)
+	})
+	lines := make([]string, 0, len(fau.all))
+	for _, one := range fau.all {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s", fileName, one.line, one.text))
+	}
+	return fperror.New(fperror.InvalidConfiguration, "%s", strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/config/fpschema/slot.go
@@ -0,0 +1,66 @@
+package fpschema
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+)
+
+// DefaultSlots is the number of slots of a service whose configuration names none.
+const DefaultSlots = 4096
+
+// Layout maps the keys of one service to slots and slots to groups. It is immutable, and a slot depends only on the
+// layout, the key and the value of the home field, so that every entry VM computes the same slot for a resent request.
+type Layout struct {
+	slots  uint32
+	groups []string            // group of each slot; "" for none
+	homes  map[string][]uint32 // slots of each group, ascending
+}
+
+// NewLayout returns the layout of a configured service.
+func NewLayout(ser *fpoperator.Service) *Layout {
+	slots := ser.GetSlots()
+	if slots == 0 {
+		slots = DefaultSlots
+	}
+	lay := &Layout{
+		slots:  slots,
+		groups: make([]string, slots),
+		homes:  map[string][]uint32{},
+	}
+	for _, hom := range ser.GetHomes() {
+		for num := hom.GetFirstSlot(); num <= hom.GetLastSlot() && num < slots; num++ {
+			lay.groups[num] = hom.GetGroup()
+		}
+	}
+	for num, gro := range lay.groups {
+		lay.homes[gro] = append(lay.homes[gro], uint32(num))
+	}
+	return lay
+}
+
+// Slots returns the number of slots.
+func (lay *Layout) Slots() uint32 { return lay.slots }
+
+// Group returns the group that homes the slot, or "".
+func (lay *Layout) Group(slot uint32) string {
+	if slot >= lay.slots {
+		return ""
+	}
+	return lay.groups[slot]
+}
+
+// Slot returns the slot of a key: xxhash64(key) mod slots. When home is set, the hash is taken modulo the number of slots
+// of the group named home, and indexes those slots in ascending order.
+func (lay *Layout) Slot(key []byte, home string) (uint32, error) {
+	sum := xxhash.Sum64(key)
+	if home == "" {
+		return uint32(sum % uint64(lay.slots)), nil
+	}
+	own := lay.homes[home]
+	if len(own) == 0 {
+		return 0, fperror.New(fperror.InvalidRequest, "the home %q is no group with slots of the service", home)
+	}
+	return own[sum%uint64(len(own))], nil
+}
--- /dev/null
+++ b/internal/route/fpserve/refuse.go
@@ -0,0 +1,60 @@
+package fpserve
+
+import (
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+)
+
+// The headers that describe an error answer.
+const (
+	outcomeHeader = "Foxtailpulley-Outcome"
+	errorHeader   = "Foxtailpulley-Error"
+)
+
+// ranError is an error whose request certainly ran.
+type ranError struct {
+	error
+}
+
+// Unwrap returns the error.
+func (err *ranError) Unwrap() error { return err.error }
+
+// outcomeOf returns the outcome to answer.
+func outcomeOf(err error) fperror.Outcome {
+	var ran *ranError
+	if errors.As(err, &ran) {
+		return fperror.Ran
+	}
+	return fperror.KindOf(err).Answer().Outcome()
+}
+
+// refuse answers a call with an error, in the protocol of the call.
+func (ser *Server) refuse(wri http.ResponseWriter, req *http.Request, err error) {
+	kin := fperror.KindOf(err)
+	ser.cfg.Count(kin.String())
+	hea := wri.Header()
+	hea[outcomeHeader] = []string{outcomeOf(err).String()}
+	hea[errorHeader] = []string{kin.String()}
+	_ = ser.errors.Write(wri, req, connect.NewError(kin.Answer().Code(), errors.New(err.Error())))
+}
+
+// abort ends an answer that has begun and cannot be completed. The caller must not take it for a whole one: gRPC gets an
+// error status in its trailers, and any other caller sees its connection or stream reset.
+func (exc *exchange) abort(err error) {
+	kin := fperror.KindOf(err)
+	exc.ser.cfg.Count(kin.String())
+	if exc.cal.protocol.form != grpc {
+		panic(http.ErrAbortHandler)
+	}
+	hea := exc.wri.Header()
+	hea[http.TrailerPrefix+"Grpc-Status"] = []string{strconv.Itoa(int(kin.Answer().Code()))}
+	hea[http.TrailerPrefix+"Grpc-Message"] = []string{url.PathEscape(err.Error())}
+	hea[http.TrailerPrefix+outcomeHeader] = []string{outcomeOf(err).String()}
+	hea[http.TrailerPrefix+errorHeader] = []string{kin.String()}
+}
--- /dev/null
+++ b/internal/upstream/fpconn/conn.go
@@ -0,0 +1,110 @@
+package fpconn
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+)
+
+// Conn is one connection to an upstream with a reservation for one request.
+type Conn struct {
+	pool   *Pool
+	client *http.ClientConn
+	socket *socket
+	http1  bool
+}
+
+// RoundTrip sends one request on the connection and uses up the reservation. An error does not tell whether the request
+// ran. The request is never sent again.
+func (con *Conn) RoundTrip(req *http.Request) (*http.Response, error) {
+	return con.client.RoundTrip(req)
+}
+
+// Release gives up the reservation.
+func (con *Conn) Release() { con.client.Release() }
+
+// HTTP1 reports whether the connection speaks HTTP/1.1, over which gRPC is not possible.
+func (con *Conn) HTTP1() bool { return con.http1 }
+
+// Crashed reports whether the upstream itself ended the connection, by closing or resetting it.
+func (con *Conn) Crashed() bool { return con.socket.endedThere.Load() }
+
+// Broken reports whether the connection can carry no more requests.
+func (con *Conn) Broken() bool { return con.client.Err() != nil }
+
+// watch has the pool told of changes of the connection.
+func (con *Conn) watch() {
+	con.client.SetStateHook(func(*http.ClientConn) { con.pool.onChange(con) })
+	con.pool.onChange(con)
+}
+
+// connect opens a connection and asks for the upstream's health on it. HTTP/2 is tried first, because only its pings find
+// a silent connection.
+func (poo *Pool) connect(ctx context.Context) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, poo.cfg.ConnectTimeout)
+	defer cancel()
+	http1 := poo.http1.Load()
+	con, err := poo.connectWith(ctx, http1)
+	if err == nil || http1 || ctx.Err() != nil {
+		return con, err
+	}
+	con, errHTTP1 := poo.connectWith(ctx, true)
+	if errHTTP1 != nil {
+		return nil, err
+	}
+	poo.http1.Store(true)
+	return con, nil
+}
+
+func (poo *Pool) connectWith(ctx context.Context, http1 bool) (*Conn, error) {
+	var soc atomic.Pointer[socket]
+	tra := newTransport(poo.cfg, dialInto(&soc), http1)
+	cli, err := tra.NewClientConn(ctx, "http", poo.upstream.GetAddress())
+	if err != nil {
+		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", poo.upstream.GetName())
+	}
+	con := &Conn{
+		pool:   poo,
+		client: cli,
+		socket: soc.Load(),
+		http1:  http1,
+	}
+	if err := con.probe(ctx); err != nil {
+		_ = cli.Close()
+		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s: no answer", poo.upstream.GetName())
+	}
+	return con, nil
+}
+
+// probe sends a request without effect. Any answer proves that the upstream's process reads and writes the connection.
+func (con *Conn) probe(ctx context.Context) error {
+	req := &http.Request{
+		Method: http.MethodGet,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   con.pool.upstream.GetAddress(),
+			Path:   healthPath,
+		},
+		Header: http.Header{},
+	}
+	res, err := con.client.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	return err
+}
+
+// Do sends one request of a client of the upstream's own services.
+func (poo *Pool) Do(req *http.Request) (*http.Response, error) {
+	con, err := poo.Reserve(req.Context())
+	if err != nil {
+		return nil, err
+	}
+	return con.RoundTrip(req)
+}
--- /dev/null
+++ b/internal/upstream/fpconn/socket.go
@@ -0,0 +1,48 @@
+package fpconn
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// socket notes whether the peer ended the connection. A connection that this side closes, for example because a ping got
+// no answer, is no sign of a crash of the upstream.
+type socket struct {
+	net.Conn
+	closedHere atomic.Bool
+	endedThere atomic.Bool
+}
+
+// Read notes the end of the connection by the peer.
+func (soc *socket) Read(buf []byte) (int, error) {
+	n, err := soc.Conn.Read(buf)
+	if err != nil && !soc.closedHere.Load() {
+		soc.endedThere.Store(true)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (soc *socket) Close() error {
+	soc.closedHere.Store(true)
+	return soc.Conn.Close()
+}
+
+// dialInto opens a TCP connection and stores it.
+func dialInto(into *atomic.Pointer[socket]) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dia net.Dialer
+		con, err := dia.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		soc := &socket{
+			Conn: con,
+		}
+		into.Store(soc)
+		return soc, nil
+	}
+}
