--- /dev/null
+++ b/api/upstream/fpfence/grant.go
@@ -0,0 +1,93 @@
+package fpfence
+
+import (
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+)
+
+// grant is what one group has granted.
+type grant struct {
+	term    uint64
+	version uint64
+	slots   map[slot]uint64 // epochs
+	fences  map[fence]int   // number of granted slots and split keys for each fence
+	lease   lease
+}
+
+// slot identifies a granted slot, or one split key in it.
+type slot struct {
+	service string
+	number  uint32
+	key     string
+}
+
+// fence is what the headers of a request name. They do not name a split key, but its epoch differs from that of its slot.
+type fence struct {
+	number uint32
+	epoch  uint64
+}
+
+func slotOf(msg *fpcontract.Slot) slot {
+	return slot{
+		service: msg.GetService(),
+		number:  msg.GetNumber(),
+		key:     string(msg.GetSplitKey()),
+	}
+}
+
+func newGrant() *grant {
+	return &grant{
+		slots:  map[slot]uint64{},
+		fences: map[fence]int{},
+	}
+}
+
+func (gra *grant) add(slo slot, epoch uint64) {
+	gra.remove(slo)
+	gra.slots[slo] = epoch
+	gra.fences[fence{number: slo.number, epoch: epoch}]++
+}
+
+func (gra *grant) remove(slo slot) {
+	epoch, ok := gra.slots[slo]
+	if !ok {
+		return
+	}
+	delete(gra.slots, slo)
+	fen := fence{
+		number: slo.number,
+		epoch:  epoch,
+	}
+	gra.fences[fen]--
+	if gra.fences[fen] == 0 {
+		delete(gra.fences, fen)
+	}
+}
+
+// serves reports whether a request with the fence may run.
+func (gra *grant) serves(fen fence) bool { return gra.fences[fen] > 0 }
+
+// change applies the slots of a request and leaves the version as it is. A request without base replaces the whole set.
+func (gra *grant) change(req *fpcontract.GrantRequest) {
+	if req.GetBase() == 0 {
+		gra.slots = map[slot]uint64{}
+		gra.fences = map[fence]int{}
+	}
+	for _, msg := range req.GetRemoved() {
+		gra.remove(slotOf(msg))
+	}
+	for _, msg := range req.GetAdded() {
+		gra.add(slotOf(msg), msg.GetEpoch())
+	}
+}
+
+// accepts reports whether a request fits the grant in force. A lower term comes from a leader that was replaced. Within a
+// term, a replacement of the whole set must not be older than the set in force, and a change must be against it.
+func (gra *grant) accepts(req *fpcontract.GrantRequest) bool {
+	if req.GetTerm() < gra.term {
+		return false
+	}
+	if req.GetBase() != 0 {
+		return req.GetBase() == gra.version
+	}
+	return req.GetTerm() > gra.term || req.GetVersion() >= gra.version
+}
