fplimit: count only preceding waiters in the expected wait

Ruled out: a higher bound for callers without a backlog, because the estimate itself was wrong. Change: the estimate counts the waiters that precede the call in the order of the queue, shares included. Bad probes end a trial that has brought no answers.

--- /dev/null
+++ b/internal/route/fpbalance/balancer_test.go
@@ -0,0 +1,219 @@
+package fpbalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
+)
+
+var start = time.Unix(1000, 0)
+
+// ups returns count upstreams in each of the data centres a1 and a2 (region a) and b1 (region b).
+func ups(count int) []fpbalance.Upstream {
+	var out []fpbalance.Upstream
+	for _, place := range []struct{ dataCentre, region string }{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}} {
+		for i := range count {
+			out = append(out, fpbalance.Upstream{
+				Name:        fmt.Sprint(place.dataCentre, "-", i),
+				DataCentre:  place.dataCentre,
+				Region:      place.region,
+				Concurrency: 2,
+			})
+		}
+	}
+	return out
+}
+
+// newBalancer returns the balancer of a VM in a1 whose upstreams are past their ramps.
+func newBalancer(pol fpbalance.Policy, link bool) *fpbalance.Balancer {
+	bal := fpbalance.New(fpbalance.Config{
+		Policy:     pol,
+		VM:         "vm",
+		DataCentre: "a1",
+		Region:     "a",
+		TakeLink:   func(time.Time, bool, int64) bool { return link },
+	})
+	bal.Update(ups(2))
+	for _, up := range ups(2) {
+		for range 100 {
+			bal.Done(start, up.Name, true, time.Millisecond)
+		}
+	}
+	return bal
+}
+
+// TestTiers guards against a call that goes farther than needed, that crosses the link without budget, or that goes to an
+// upstream twice, under every policy.
+func TestTiers(t *testing.T) {
+	for _, pol := range fpbalance.Policies() {
+		for _, link := range []bool{false, true} {
+			bal := newBalancer(pol, link)
+			var cal fpbalance.Call
+			seen := map[string]bool{}
+			places := ""
+			for {
+				name, err := bal.Choose(start, cal)
+				if err != nil {
+					want := fperror.Overloaded
+					if link {
+						want = fperror.NoUpstream
+					}
+					if !fperror.Is(err, want) {
+						t.Errorf("%v: %v", pol, err)
+					}
+					break
+				}
+				if seen[name] {
+					t.Fatalf("%v: %s was tried and is chosen again", pol, name)
+				}
+				seen[name] = true
+				cal.Tried = append(cal.Tried, name)
+				places += name[:2] + " "
+			}
+			want := "a1 a1 a2 a2 "
+			if link {
+				want += "b1 b1 "
+			}
+			if places != want {
+				t.Errorf("%v with link %v: order %q, want %q", pol, link, places, want)
+			}
+		}
+	}
+}
+
+// TestSpill guards against calls that stay in a saturated data centre or region while a farther one is idle.
+func TestSpill(t *testing.T) {
+	bal := newBalancer(fpbalance.PowerOfTwo, true)
+	places := map[string]int{}
+	for range 12 { // 2 units on each of 6 upstreams
+		name, err := bal.Choose(start, fpbalance.Call{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		places[name[:2]]++
+	}
+	if places["a1"] < 4 || places["a2"] < 3 || places["b1"] < 2 {
+		t.Errorf("12 calls on 12 units went to %v", places)
+	}
+}
+
+// TestBundlesLeaveUpstreams guards against bundles on all upstreams of a region, and against VMs that disagree about the
+// upstreams without bundles.
+func TestBundlesLeaveUpstreams(t *testing.T) {
+	used := map[string]bool{}
+	for _, dataCentre := range []string{"a1", "a2"} {
+		bal := fpbalance.New(fpbalance.Config{
+			VM:         dataCentre,
+			DataCentre: dataCentre,
+			Region:     "a",
+		})
+		bal.Update(ups(2))
+		for range 1000 {
+			name, err := bal.Choose(start, fpbalance.Call{
+				Bundle: true,
+			})
+			if err != nil {
+				continue
+			}
+			used[name] = true
+			bal.Done(start, name, true, time.Millisecond)
+		}
+	}
+	if len(used) == 0 || len(used) > 3 {
+		t.Errorf("bundles of two VMs use %v of 4 upstreams", used)
+	}
+}
+
+// TestRamp guards against a newcomer that gets more than one request before its first answer, or its full share before it
+// has given answers, or never.
+func TestRamp(t *testing.T) {
+	for _, pol := range fpbalance.Policies() {
+		bal := newBalancer(pol, false)
+		list := ups(2)
+		list[0].Incarnation++
+		bal.Update(list)
+		count := 0
+		for range 100 {
+			name, err := bal.Choose(start, fpbalance.Call{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if name == "a1-0" {
+				count++
+			} else {
+				bal.Done(start, name, true, time.Millisecond)
+			}
+		}
+		if count > 1 {
+			t.Errorf("%v: %d requests before the first answer", pol, count)
+		}
+		bal.Done(start, "a1-0", true, time.Millisecond)
+		share := func(calls int) float64 {
+			got := 0
+			for range calls {
+				name, _ := bal.Choose(start, fpbalance.Call{})
+				if name == "a1-0" {
+					got++
+				}
+				bal.Done(start, name, true, time.Millisecond)
+			}
+			return float64(got) / float64(calls)
+		}
+		if early := share(40); early > 0.4 {
+			t.Errorf("%v: share %.2f right after the first answer", pol, early)
+		}
+		share(1000)
+		if late := share(1000); late < 0.4 {
+			t.Errorf("%v: share %.2f after the ramp", pol, late)
+		}
+	}
+}
+
+// TestSubset guards against a subset of the wrong size, and against one that changes more than needed when an upstream
+// leaves.
+func TestSubset(t *testing.T) {
+	used := func(list []fpbalance.Upstream) map[string]bool {
+		bal := fpbalance.New(fpbalance.Config{
+			Subset:     3,
+			VM:         "vm",
+			DataCentre: "a1",
+			Region:     "a",
+			TakeLink:   func(time.Time, bool, int64) bool { return true },
+		})
+		bal.Update(list)
+		names := map[string]bool{}
+		var cal fpbalance.Call
+		for {
+			name, err := bal.Choose(start, cal)
+			if err != nil {
+				return names
+			}
+			names[name] = true
+			cal.Tried = append(cal.Tried, name)
+		}
+	}
+	list := ups(4)
+	before := used(list)
+	if len(before) != 3 {
+		t.Fatalf("subset of 3 uses %v", before)
+	}
+	for i, up := range list {
+		after := used(append(append([]fpbalance.Upstream{}, list[:i]...), list[i+1:]...))
+		kept := 0
+		for name := range after {
+			if before[name] {
+				kept++
+			}
+		}
+		want := 3
+		if before[up.Name] {
+			want = 2
+		}
+		if kept != want {
+			t.Errorf("%s left: %d of the subset kept, want %d", up.Name, kept, want)
+		}
+	}
+}
--- a/internal/route/fplimit/core.go
+++ b/internal/route/fplimit/core.go
@@ -130,11 +130,12 @@
 		cor.start(cal, acc)
 		return Start, 0, nil
 	}
+	acc.waiting++ // the caller counts as active from here on
 	if err := cor.refuse(now, cal, acc, left); err != nil {
+		acc.waiting--
 		return Refuse, 0, err
 	}
 	cor.serial++
-	acc.waiting++
 	cor.queue.waiters = append(cor.queue.waiters, &waiter{
 		ticket:  cor.serial,
 		call:    cal,
@@ -152,10 +153,10 @@
 	if cor.queue.class(cal.Priority) >= cor.classBound(cal.Priority) {
 		return fperror.New(fperror.Overloaded, "the queue has no place for priority class %d", cal.Priority)
 	}
-	if acc.waiting >= cor.callerBound(now, acc) {
-		return fperror.New(fperror.Overloaded, "caller has %d of %d requests in the queue", acc.waiting, waiting)
+	if acc.waiting > cor.callerBound(now) {
+		return fperror.New(fperror.Overloaded, "caller has %d of %d requests in the queue", acc.waiting-1, waiting)
 	}
-	wait := cor.expectedWait(now, cal)
+	wait := cor.expectedWait(now, cal, acc)
 	if wait > cor.maxWait {
 		return fperror.New(fperror.Overloaded, "expected wait %v is above %v", wait, cor.maxWait)
 	}
@@ -178,21 +179,20 @@
 }
 
 // callerBound returns the part of the queue that a caller may fill.
-func (cor *Core) callerBound(now time.Time, acc *account) int {
+func (cor *Core) callerBound(now time.Time) int {
 	active, _ := cor.shares.active(now)
-	if acc.running == 0 && acc.waiting == 0 {
-		active++
-	}
 	if active <= 1 {
 		return max(1, int(soleCallerShare*float64(cor.bound)))
 	}
 	return max(1, cor.bound/active)
 }
 
-// expectedWait estimates the time in the queue of a new request.
-func (cor *Core) expectedWait(now time.Time, cal Call) time.Duration {
+// expectedWait estimates the time in the queue of a new request. Only the waiters that precede it count, so the backlog
+// of a caller above its share does not refuse the requests of others.
+func (cor *Core) expectedWait(now time.Time, cal Call, acc *account) time.Duration {
+	_, meanUse := cor.shares.active(now)
 	each := cor.learn.serviceTime(now) / time.Duration(cor.learn.units())
-	wait := each * time.Duration(cor.queue.ahead(cal)+1)
+	wait := each * time.Duration(cor.queue.ahead(now, meanUse, cal, acc)+1)
 	if pause := cor.learn.paused.Sub(now); pause > 0 {
 		wait += pause
 	}
--- /dev/null
+++ b/internal/route/fplimit/limiter_test.go
@@ -0,0 +1,75 @@
+package fplimit_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
+)
+
+// TestCanceledWaitersReturnUnits guards against units that are lost when the context of a waiting request ends at the
+// moment at which it is admitted.
+func TestCanceledWaitersReturnUnits(t *testing.T) {
+	lim := fplimit.New(fplimit.CoreConfig{
+		Concurrency: 2,
+	})
+	var group sync.WaitGroup
+	var most, running atomic.Int64
+	for i := range 2000 {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%7)*200*time.Microsecond)
+			defer cancel()
+			done, err := lim.Admit(ctx, fplimit.Call{
+				Deadline: time.Now().Add(time.Minute),
+			})
+			if err != nil {
+				return
+			}
+			if now := running.Add(1); now > most.Load() {
+				most.Store(now)
+			}
+			time.Sleep(100 * time.Microsecond)
+			running.Add(-1)
+			done(fplimit.Result{})
+			done(fplimit.Result{}) // a second call must not return a second unit
+		})
+	}
+	group.Wait()
+	if sta := lim.State(); sta.Running() != 0 || sta.Waiting() != 0 {
+		t.Errorf("%d requests run and %d wait after all have ended", sta.Running(), sta.Waiting())
+	}
+	if most.Load() > 2 {
+		t.Errorf("%d requests ran at once on 2 units", most.Load())
+	}
+}
+
+// TestPauseWakesWaiters guards against requests that wait for ever when nothing runs during a push-back.
+func TestPauseWakesWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lim := fplimit.New(fplimit.CoreConfig{
+			Concurrency: 1,
+		})
+		done, err := lim.Admit(t.Context(), fplimit.Call{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		done(fplimit.Result{
+			Err:      fperror.New(fperror.UpstreamShed, "shed"),
+			PushBack: 100 * time.Millisecond,
+		})
+		began := time.Now()
+		done, err = lim.Admit(t.Context(), fplimit.Call{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		done(fplimit.Result{})
+		if waited := time.Since(began); waited != 100*time.Millisecond {
+			t.Errorf("waited %v for a push-back of 100 ms", waited)
+		}
+	})
+}
--- a/internal/route/fplimit/queue.go
+++ b/internal/route/fplimit/queue.go
@@ -14,11 +14,13 @@
 	waiters []*waiter
 }
 
-// ahead returns the number of waiters that are served before the call when all callers are within their shares.
-func (que *queue) ahead(cal Call) int {
+// ahead returns the number of waiters that are served before a new call.
+func (que *queue) ahead(now time.Time, meanUse float64, cal Call, acc *account) int {
+	over := acc.over(now, meanUse)
 	count := 0
 	for _, wai := range que.waiters {
-		if before(wai.call, cal) {
+		// Of equal calls the earlier arrival is first, so a waiter is ahead unless the new call precedes it.
+		if !precedes(cal, over, wai.call, wai.account.over(now, meanUse)) {
 			count++
 		}
 	}
@@ -44,7 +46,7 @@
 		if wai.call.Bundle && !bundles {
 			continue
 		}
-		over := wai.account.usedAt(now) > overShare*meanUse
+		over := wai.account.over(now, meanUse)
 		if found < 0 || precedes(wai.call, over, que.waiters[found].call, foundOver) {
 			found = i
 			foundOver = over
@@ -80,11 +82,3 @@
 	}
 	return one.Deadline.Before(two.Deadline)
 }
-
-// before orders by class, then by deadline; of equal calls the earlier arrival is first.
-func before(one, two Call) bool {
-	if one.Priority != two.Priority {
-		return one.Priority > two.Priority
-	}
-	return !two.Deadline.Before(one.Deadline)
-}
--- a/internal/route/fplimit/share.go
+++ b/internal/route/fplimit/share.go
@@ -37,6 +37,11 @@
 	return acc.used * math.Exp2(-float64(age)/float64(usageHalfLife))
 }
 
+// over reports whether the caller is above its share, given the mean use of all active callers.
+func (acc *account) over(now time.Time, meanUse float64) bool {
+	return acc.usedAt(now) > overShare*meanUse
+}
+
 // charge adds busy time.
 func (acc *account) charge(now time.Time, busy time.Duration) {
 	acc.used = acc.usedAt(now) + busy.Seconds()
--- /dev/null
+++ b/internal/route/fpquarantine/list_test.go
@@ -0,0 +1,82 @@
+package fpquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+)
+
+var start = time.Unix(1000, 0)
+
+func crash(upstream string, incarnation uint64) fpquarantine.Crash {
+	return fpquarantine.Crash{
+		Upstream:    upstream,
+		Incarnation: incarnation,
+	}
+}
+
+// TestSecondDistinctCrash guards against a third crash by the same request, and against a refusal after two reports of
+// the same crash.
+func TestSecondDistinctCrash(t *testing.T) {
+	lis := fpquarantine.New(fpquarantine.Config{})
+	lis.Suspect(start, "bad", crash("u0", 1))
+	lis.Suspect(start, "bad", crash("u0", 1))
+	if err := lis.Check(start, "bad"); err != nil {
+		t.Errorf("refused after one crash: %v", err)
+	}
+	lis.Suspect(start, "bad", crash("u0", 2))
+	if err := lis.Check(start, "bad"); !fperror.Is(err, fperror.Quarantined) {
+		t.Errorf("not refused after crashes of two incarnations: %v", err)
+	}
+	if err := lis.Check(start, "other"); err != nil {
+		t.Errorf("another request is refused: %v", err)
+	}
+	if err := lis.Check(start.Add(fpquarantine.DefaultRemember), "bad"); err != nil {
+		t.Errorf("a suspect outlives its retention: %v", err)
+	}
+}
+
+// TestRelease guards against a released request that this VM's own suspicion keeps refusing.
+func TestRelease(t *testing.T) {
+	lis := fpquarantine.New(fpquarantine.Config{})
+	lis.Suspect(start, "bad", crash("u0", 1))
+	lis.Suspect(start, "bad", crash("u1", 1))
+	lis.Replace("group", []string{"bad"})
+	lis.Replace("other", nil)
+	if err := lis.Check(start, "bad"); !fperror.Is(err, fperror.Quarantined) {
+		t.Errorf("quarantined request passes: %v", err)
+	}
+	lis.Replace("group", nil)
+	if err := lis.Check(start, "bad"); err != nil {
+		t.Errorf("released request is refused: %v", err)
+	}
+}
+
+// TestSuspectsAreBounded guards against memory that grows with the number of broken requests.
+func TestSuspectsAreBounded(t *testing.T) {
+	lis := fpquarantine.New(fpquarantine.Config{
+		MaxSuspects: 10,
+	})
+	for i := range 100 {
+		lis.Suspect(start, fmt.Sprint(i), crash("u0", 1))
+	}
+	if _, suspects := lis.Len(); suspects > 10 {
+		t.Errorf("%d suspects, the bound is 10", suspects)
+	}
+	if lis.Crashes(start, "99") != 1 || lis.Crashes(start, "0") != 0 {
+		t.Error("the newest suspect was dropped instead of the oldest")
+	}
+}
+
+func ExampleDigest() {
+	dig := fpquarantine.NewDigest("/pkg.Service/Method")
+	fmt.Fprint(dig, "one ")
+	fmt.Fprint(dig, "body")
+	whole := fpquarantine.NewDigest("/pkg.Service/Method")
+	fmt.Fprint(whole, "one body")
+	fmt.Println(dig.String() == whole.String())
+	// Output: true
+}
--- a/internal/upstream/fphealth/set.go
+++ b/internal/upstream/fphealth/set.go
@@ -207,7 +207,7 @@
 	}
 	mem.bad++
 	proven := mem.answered.After(mem.firstBad)
-	if mem.state == Healthy && mem.probedWell && mem.bad >= badProbes && !proven {
+	if mem.state != Ejected && mem.probedWell && mem.bad >= badProbes && !proven {
 		return append(set.eject(now, name, mem), set.tick(now)...)
 	}
 	return set.tick(now)
