fpnode: join groups, forwarding path and listeners to a process

Cause: the parts exist as packages; no process runs them. Ruled out: one package for all of it, because peers, voters, the entry side and operators change for different reasons. A change of slots names the term of the leader that decided it.

--- a/internal/control/fpmachine/machine.go
+++ b/internal/control/fpmachine/machine.go
@@ -75,7 +75,7 @@
 		out := mac.configuration.Apply(fpconfig.Version(pos), one.Configure)
 		res.Error, res.Message, res.Version = out.Kind, out.Message, out.Accepted.Wire()
 	case *fpwire.Command_UpdateSlots:
-		fail(res, mac.table.Apply(pos, one.UpdateSlots))
+		fail(res, mac.updateSlots(pos, one.UpdateSlots))
 		res.Version = mac.table.Version().Version()
 	case *fpwire.Command_SetHomes:
 		fail(res, mac.table.SetHomes(pos, one.SetHomes))
@@ -98,6 +98,14 @@
 	}
 }
 
+// updateSlots refuses a change that the leader of another term decided.
+func (mac *Machine) updateSlots(pos fpgrant.Position, cmd *fpwire.UpdateSlots) error {
+	if term := cmd.GetTerm(); term != 0 && term != pos.Term {
+		return fperror.New(fperror.VersionConflict, "a change decided in term %d is void in term %d", term, pos.Term)
+	}
+	return mac.table.Apply(pos, cmd)
+}
+
 // claim refuses a claim for a slot with another home, since the claims of a slot must be in one group.
 func (mac *Machine) claim(cmd *fpwire.Claim, res *fpwire.CommandResult) {
 	if !mac.table.Homed(cmd.GetService(), cmd.GetSlot()) {
@@ -138,6 +146,14 @@
 	return fpgrant.Position(mac.configuration.Version()), mac.configuration.Configuration()
 }
 
+// Decided reports whether a configuration request has got its answer.
+func (mac *Machine) Decided(request string) bool {
+	mac.mu.RLock()
+	defer mac.mu.RUnlock()
+	_, known := mac.configuration.Outcome(request)
+	return known
+}
+
 // KnownServices returns the configuration against which a new one is validated; see fpconfig.State.Known.
 func (mac *Machine) KnownServices() *fpoperator.Configuration {
 	mac.mu.RLock()
--- /dev/null
+++ b/internal/node/fpentry/dump.go
@@ -0,0 +1,62 @@
+package fpentry
+
+// Dump is the state of the forwarding path for the dump of a VM.
+type Dump struct {
+	Services    []ServiceDump  `json:"services"`
+	Upstreams   []UpstreamDump `json:"upstreams"`
+	Quarantined int            `json:"quarantined"`
+	Suspects    int            `json:"suspects"`
+}
+
+// ServiceDump is the health of a service.
+type ServiceDump struct {
+	Name    string `json:"name"`
+	Members int    `json:"members"`
+	Ejected int    `json:"ejected"`
+}
+
+// UpstreamDump is the admission and the connections of an upstream on this VM.
+type UpstreamDump struct {
+	Name        string `json:"name"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+	Limit       int    `json:"limit"`
+	Connections int    `json:"connections"`
+	State       string `json:"state"`
+}
+
+// Dump returns the state of the forwarding path.
+func (ent *Entry) Dump() Dump {
+	var out Dump
+	out.Quarantined, out.Suspects = ent.quarantine.Len()
+	for _, ups := range ent.registry.All() {
+		one := UpstreamDump{
+			Name:        ups.GetName(),
+			Service:     ups.GetService(),
+			Address:     ups.GetAddress(),
+			Incarnation: ups.GetIncarnation(),
+			Connections: ent.pools.Pool(ups).Len(),
+		}
+		limit := ent.limiter(ups).State()
+		one.Running = limit.Running()
+		one.Waiting = limit.Waiting()
+		one.Limit = limit.Units()
+		if ser := ent.find(ups.GetService()); ser != nil {
+			one.State = ser.health.State(ups.GetName()).String()
+		}
+		out.Upstreams = append(out.Upstreams, one)
+	}
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	for name, ser := range ent.services {
+		out.Services = append(out.Services, ServiceDump{
+			Name:    name,
+			Members: len(ser.members),
+			Ejected: ser.health.Ejected(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/fpentry/entry.go
@@ -0,0 +1,184 @@
+// Package fpentry joins the parts of an entry VM: tables and upstreams from the leaders' answers to polls, and the choice,
+// admission and retry of requests on the forwarding path.
+package fpentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpschema"
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgrant"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fphealth"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpregistry"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// Config configures an Entry.
+type Config struct {
+	// VM is the name of the VM, Incarnation grows with every start of it.
+	VM          string
+	Incarnation uint64
+	// DataCentre and Region hold the VM.
+	DataCentre string
+	Region     string
+	// RegionOf returns the region of a data centre, or "".
+	RegionOf func(dataCentre string) string
+	// Groups names the groups to poll.
+	Groups []string
+	// PollHold is how long a leader may hold a poll.
+	PollHold time.Duration
+	// ReadIdle and PingTimeout find silent connections to upstreams.
+	ReadIdle    time.Duration
+	PingTimeout time.Duration
+	// Serves states that the VM forwards requests; a VM without the role entry only follows the configuration.
+	Serves bool
+	// Poll sends a poll to the leader of its group.
+	Poll func(ctx context.Context, req *fpwire.PollRequest) (*fpwire.PollResponse, error)
+	// Submit commits a command in a group.
+	Submit func(ctx context.Context, group string, cmd *fpwire.Command) (*fpwire.CommandResult, error)
+	// Configuration returns the configuration in force, and Configure puts a newer one in force.
+	Configuration func() (fpgrant.Position, *fpoperator.Configuration)
+	Configure     func(version *fpoperator.Version, cfg *fpoperator.Configuration)
+	// Schema returns the schema in force, or nil.
+	Schema func() *fpschema.Schema
+	// Count increments a counter.
+	Count func(name string)
+	Log   *zap.Logger
+}
+
+// Entry is the state of an entry VM. Use New to create one.
+type Entry struct {
+	cfg        Config
+	table      *fptable.Table
+	registry   *fpregistry.Registry
+	quarantine *fpquarantine.List
+	pools      *fpconn.Pools
+	server     *fpserve.Server
+	prober     *fphealth.Prober
+	link       atomic.Pointer[fplimit.Link]
+
+	mutex     sync.Mutex
+	services  map[string]*service
+	upstreams map[string]*limit
+}
+
+// New returns an entry VM without tables. It serves once Run has fetched them.
+func New(cfg Config) *Entry {
+	ent := &Entry{
+		cfg:        cfg,
+		table:      fptable.New(fptable.Config{}),
+		registry:   &fpregistry.Registry{},
+		quarantine: fpquarantine.New(fpquarantine.Config{}),
+		pools: fpconn.New(fpconn.Config{
+			ReadIdle:    cfg.ReadIdle,
+			PingTimeout: cfg.PingTimeout,
+			Count:       cfg.Count,
+		}),
+		prober:    fphealth.NewProber(fphealth.ProberConfig{}),
+		services:  map[string]*service{},
+		upstreams: map[string]*limit{},
+	}
+	ent.link.Store(fplimit.NewLink(fplimit.LinkConfig{}))
+	ent.server = fpserve.New(fpserve.Config{
+		Pools:         ent.pools,
+		Schema:        cfg.Schema,
+		MaxDeadline:   ent.maxDeadline,
+		Route:         ent.route,
+		Choose:        ent.choose,
+		Admit:         ent.admit,
+		Retry:         ent.retry,
+		Succeeded:     ent.succeeded,
+		Claim:         ent.claim,
+		Settle:        ent.settle,
+		ReportCrash:   ent.reportCrash,
+		IsQuarantined: ent.isQuarantined,
+		Count:         cfg.Count,
+	})
+	return ent
+}
+
+// Run polls all groups until ctx ends, and reports its end on done.
+func (ent *Entry) Run(ctx context.Context) (done <-chan error) {
+	end := make(chan error, 1)
+	var wgr sync.WaitGroup
+	for _, group := range ent.cfg.Groups {
+		wgr.Go(func() { ent.poll(ctx, group) })
+	}
+	if ent.cfg.Serves {
+		wgr.Go(func() { ent.watchHealth(ctx) })
+	}
+	go func() {
+		wgr.Wait()
+		end <- nil
+	}()
+	return end
+}
+
+// Close waits for the requests that were abandoned and closes the connections to upstreams.
+func (ent *Entry) Close() {
+	ent.server.Close()
+	ent.pools.Close()
+}
+
+// Handler returns the handler for callers.
+func (ent *Entry) Handler() http.Handler { return ent.server }
+
+// Running returns the number of calls in flight.
+func (ent *Entry) Running() int64 { return ent.server.Running() }
+
+// Table returns the copy of the slot tables.
+func (ent *Entry) Table() *fptable.Table { return ent.table }
+
+// Registry returns the upstreams that have been announced.
+func (ent *Entry) Registry() *fpregistry.Registry { return ent.registry }
+
+// Quarantine returns the quarantined requests.
+func (ent *Entry) Quarantine() *fpquarantine.List { return ent.quarantine }
+
+func (ent *Entry) count(name string) {
+	if ent.cfg.Count != nil {
+		ent.cfg.Count(name)
+	}
+}
+
+// Reconfigure puts a configuration in force on the forwarding path.
+func (ent *Entry) Reconfigure(cfg *fpoperator.Configuration) {
+	ent.table.Configure(cfg.GetServices())
+	ent.link.Store(fplimit.NewLink(fplimit.LinkConfig{
+		Rate: int64(cfg.GetLinkRate()),
+	}))
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	for _, ser := range ent.services {
+		ser.drained = drainedSet(cfg)
+	}
+	ent.refresh(cfg)
+}
+
+func drainedSet(cfg *fpoperator.Configuration) map[string]bool {
+	set := map[string]bool{}
+	for _, name := range cfg.GetDrainedUpstreams() {
+		set[name] = true
+	}
+	return set
+}
+
+// upstreamsChanged takes a new list of upstreams.
+func (ent *Entry) upstreamsChanged() {
+	_, cfg := ent.cfg.Configuration()
+	ent.pools.Update(ent.registry.All())
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	ent.refresh(cfg)
+}
--- /dev/null
+++ b/internal/node/fpentry/health.go
@@ -0,0 +1,88 @@
+package fpentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fphealth"
+)
+
+// Probing of upstreams.
+const (
+	healthTick = 250 * time.Millisecond
+	// probeInterval is the time between probes of one upstream.
+	probeInterval = time.Second
+	// maxProbes bounds the probes under way. Upstreams of other regions are not probed, because the link is narrow.
+	maxProbes = 32
+)
+
+// watchHealth probes the upstreams of this region and lets time act on their health until ctx ends.
+func (ent *Entry) watchHealth(ctx context.Context) {
+	tick := time.NewTicker(healthTick)
+	defer tick.Stop()
+	next := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		ent.tickHealth()
+		if now := time.Now(); now.After(next) {
+			next = now.Add(probeInterval)
+			ent.probeAll(ctx)
+		}
+	}
+}
+
+func (ent *Entry) tickHealth() {
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	for _, ser := range ent.services {
+		ent.healthChanged(ser, ser.health.Tick(time.Now()))
+	}
+}
+
+func (ent *Entry) probeAll(ctx context.Context) {
+	var wgr sync.WaitGroup
+	places := make(chan struct{}, maxProbes)
+	for _, ups := range ent.registry.All() {
+		if ent.cfg.RegionOf(ups.GetDataCentre()) != ent.cfg.Region {
+			continue
+		}
+		places <- struct{}{}
+		wgr.Go(func() {
+			ent.probe(ctx, ups)
+			<-places
+		})
+	}
+	wgr.Wait()
+}
+
+func (ent *Entry) probe(ctx context.Context, ups *fpcontract.Upstream) {
+	hea, err := ent.prober.Health(ctx, ups.GetAddress())
+	if ctx.Err() != nil {
+		return
+	}
+	ser := ent.find(ups.GetService())
+	if ser == nil {
+		return
+	}
+	ent.mutex.Lock()
+	ent.healthChanged(ser, ser.health.Probe(time.Now(), ups.GetName(), fphealth.Probe{
+		Answered: err == nil,
+		Ready:    hea.GetReady(),
+	}))
+	ent.mutex.Unlock()
+	load, err := ent.prober.Load(ctx, ups.GetAddress())
+	if err != nil {
+		return
+	}
+	ser.balancer.Report(time.Now(), ups.GetName(), fpbalance.Report{
+		Running: load.GetRunning(),
+		Queued:  load.GetQueued(),
+	})
+}
--- /dev/null
+++ b/internal/node/fpentry/path.go
@@ -0,0 +1,221 @@
+package fpentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/api/schema/fpoption"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// defaultMaxDeadline bounds the deadlines of a service whose configuration names no bound.
+const defaultMaxDeadline = 30 * time.Second
+
+// expectedBytes is the size that a small call is charged for on the link when its body has no known length.
+const expectedBytes = 4 << 10
+
+func (ent *Entry) maxDeadline(name string) time.Duration {
+	_, cfg := ent.cfg.Configuration()
+	for _, ser := range cfg.GetServices() {
+		if ser.GetName() == name && ser.GetMaxDeadline() != nil {
+			return ser.GetMaxDeadline().AsDuration()
+		}
+	}
+	return defaultMaxDeadline
+}
+
+// route returns the owner of a keyed call.
+func (ent *Entry) route(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
+	name := cal.Method().Service().Name()
+	fli, err := ent.table.Route(ctx, name, cal.Key(), cal.Home(), cal.Deadline())
+	if err != nil {
+		return nil, err
+	}
+	ups := ent.registry.Upstream(fli.Owner())
+	if ups == nil {
+		fli.Done(0)
+		return nil, fperror.New(fperror.NoOwner, "the address of the owner %s is not known", fli.Owner())
+	}
+	return &fpserve.Target{
+		Upstream: ups,
+		Group:    fli.Place().Group,
+		Slot:     fli.Place().Slot,
+		Epoch:    fli.Epoch(),
+		Check:    fli.Check,
+		Done:     fli.Done,
+	}, nil
+}
+
+// choose returns an upstream for a call without a key.
+func (ent *Entry) choose(_ context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
+	name := cal.Method().Service().Name()
+	ser := ent.find(name)
+	if ser == nil {
+		return nil, fperror.New(fperror.NoUpstream, "the service %s is not configured", name)
+	}
+	chosen, err := ser.balancer.Choose(time.Now(), fpbalance.Call{
+		Bundle: cal.Method().Bundle(),
+		Bytes:  max(cal.Size(), expectedBytes),
+		Tried:  cal.Tried(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	ups := ent.registry.Upstream(chosen)
+	if ups == nil {
+		ser.balancer.Done(time.Now(), chosen, false, 0)
+		return nil, fperror.New(fperror.NoUpstream, "the address of %s is not known", chosen)
+	}
+	return &fpserve.Target{
+		Upstream: ups,
+		Done: func(busy time.Duration) {
+			ser.balancer.Done(time.Now(), chosen, busy > 0, busy)
+		},
+	}, nil
+}
+
+// admit waits for a place on the upstream and learns from the result.
+func (ent *Entry) admit(ctx context.Context, cal *fpserve.Call, tar *fpserve.Target) (func(fpserve.Result), error) {
+	done, err := ent.limiter(tar.Upstream).Admit(ctx, fplimit.Call{
+		Caller:   cal.Caller(),
+		Priority: priority(cal.Method().Priority()),
+		Bundle:   cal.Method().Bundle(),
+		Deadline: cal.Deadline(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	var once atomic.Bool
+	return func(res fpserve.Result) {
+		if !once.CompareAndSwap(false, true) {
+			return
+		}
+		done(fplimit.Result{
+			Err:      res.Err,
+			PushBack: res.PushBack,
+		})
+		if res.Sent || fperror.Is(res.Err, fperror.ConnectFailed) {
+			ent.observe(cal, tar, res.Err)
+		}
+	}, nil
+}
+
+func (ent *Entry) observe(cal *fpserve.Call, tar *fpserve.Target, err error) {
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	if ser := ent.services[cal.Method().Service().Name()]; ser != nil {
+		ent.healthChanged(ser, ser.health.Observe(time.Now(), tar.Upstream.GetName(), err))
+	}
+}
+
+func priority(pri fpoption.Priority) fplimit.Priority {
+	switch pri {
+	case fpoption.Priority_PRIORITY_LOW:
+		return fplimit.Low
+	case fpoption.Priority_PRIORITY_HIGH:
+		return fplimit.High
+	default:
+		return fplimit.Normal
+	}
+}
+
+// retry asks for permission to try again.
+func (ent *Entry) retry(cal *fpserve.Call, err error, pushBack time.Duration) (time.Duration, bool) {
+	ser := ent.find(cal.Method().Service().Name())
+	if ser == nil {
+		return 0, false
+	}
+	kin := fperror.KindOf(err)
+	losses := 0
+	if kin == fperror.UpstreamLost {
+		losses = len(cal.Tried())
+	}
+	dec := ser.retrier.Decide(time.Now(), fpretry.Failure{
+		Kind:       kin,
+		Idempotent: cal.Method().Idempotent(),
+		Tries:      max(1, len(cal.Tried())),
+		Losses:     losses,
+		Deadline:   cal.Deadline(),
+		PushBack:   pushBack,
+	})
+	return dec.After(), dec.Retry()
+}
+
+func (ent *Entry) succeeded(cal *fpserve.Call) {
+	if ser := ent.find(cal.Method().Service().Name()); ser != nil {
+		ser.retrier.Success(time.Now())
+	}
+}
+
+// claim commits a claim in the group that homes the slot of what the caller sends on every resend.
+func (ent *Entry) claim(ctx context.Context, cal *fpserve.Call, cla *fpwire.Claim) (*fpwire.ClaimResult, error) {
+	pla, err := ent.table.Locate(cal.Method().Service().Name(), cal.ClaimKey(), cal.Home())
+	if err != nil {
+		return nil, err
+	}
+	cla.Slot = pla.Slot
+	cla.Holder = ent.cfg.VM
+	cla.HolderIncarnation = ent.cfg.Incarnation
+	res, err := ent.cfg.Submit(ctx, pla.Group, &fpwire.Command{
+		Kind: &fpwire.Command_Claim{
+			Claim: cla,
+		},
+	})
+	switch fperror.KindOf(err) {
+	case fperror.NoQuorum, fperror.NotLeader, fperror.Overloaded:
+		if err != nil {
+			ent.count("claimUnavailable")
+			return nil, fperror.Wrap(fperror.ClaimUnavailable, err, "the claim cannot be committed in group %s", pla.Group)
+		}
+	}
+	return res.GetClaim(), err
+}
+
+func (ent *Entry) settle(ctx context.Context, cal *fpserve.Call, set *fpwire.Settle) error {
+	pla, err := ent.table.Locate(cal.Method().Service().Name(), cal.ClaimKey(), cal.Home())
+	if err != nil {
+		return err
+	}
+	set.Holder = ent.cfg.VM
+	set.HolderIncarnation = ent.cfg.Incarnation
+	_, err = ent.cfg.Submit(ctx, pla.Group, &fpwire.Command{
+		Kind: &fpwire.Command_Settle{
+			Settle: set,
+		},
+	})
+	return err
+}
+
+// reportCrash reports to the group that homes the request's identity, so that reports from all entry VMs meet.
+func (ent *Entry) reportCrash(ctx context.Context, cal *fpserve.Call, tar *fpserve.Target) (bool, error) {
+	suspect := cal.Suspect()
+	ent.quarantine.Suspect(time.Now(), suspect, fpquarantine.Crash{
+		Upstream:    tar.Upstream.GetName(),
+		Incarnation: tar.Upstream.GetIncarnation(),
+	})
+	pla, err := ent.table.Locate(cal.Method().Service().Name(), []byte(suspect), "")
+	if err != nil {
+		return false, err
+	}
+	res, err := ent.cfg.Submit(ctx, pla.Group, &fpwire.Command{
+		Kind: &fpwire.Command_ReportCrash{
+			ReportCrash: &fpwire.ReportCrash{
+				Digest:              suspect,
+				Upstream:            tar.Upstream.GetName(),
+				UpstreamIncarnation: tar.Upstream.GetIncarnation(),
+			},
+		},
+	})
+	return res.GetQuarantined(), err
+}
+
+func (ent *Entry) isQuarantined(cal *fpserve.Call) bool {
+	return ent.quarantine.Check(time.Now(), cal.Suspect()) != nil
+}
--- /dev/null
+++ b/internal/node/fpentry/service.go
@@ -0,0 +1,159 @@
+package fpentry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fphealth"
+)
+
+// service is what an entry VM has learned about the upstreams of one service.
+type service struct {
+	name     string
+	balancer *fpbalance.Balancer
+	retrier  *fpretry.Retrier
+	health   *fphealth.Set
+	drained  map[string]bool
+	ejected  map[string]bool
+	members  []*fpcontract.Upstream
+}
+
+// limit is the admission to one incarnation of an upstream.
+type limit struct {
+	incarnation uint64
+	limiter     *fplimit.Limiter
+}
+
+// newRand returns a source with a random seed, so that entry VMs do not draw the same numbers.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// service returns the state of a service. The caller holds the mutex.
+func (ent *Entry) service(name string) *service {
+	if ser := ent.services[name]; ser != nil {
+		return ser
+	}
+	_, cfg := ent.cfg.Configuration()
+	ser := &service{
+		name: name,
+		balancer: fpbalance.New(fpbalance.Config{
+			VM:         ent.cfg.VM,
+			DataCentre: ent.cfg.DataCentre,
+			Region:     ent.cfg.Region,
+			TakeLink:   ent.takeLink,
+			Rand:       newRand(),
+		}),
+		retrier: fpretry.New(fpretry.Config{
+			Share: cfg.GetRetryBudget(),
+			Rand:  newRand(),
+		}),
+		health: fphealth.NewSet(fphealth.Config{
+			Rand: newRand(),
+		}),
+		drained: drainedSet(cfg),
+		ejected: map[string]bool{},
+	}
+	ent.services[name] = ser
+	return ser
+}
+
+func (ent *Entry) takeLink(now time.Time, bundle bool, bytes int64) bool {
+	traffic := fplimit.Small
+	if bundle {
+		traffic = fplimit.Bundle
+	}
+	return ent.link.Load().Take(now, traffic, bytes)
+}
+
+// refresh gives every service its list of upstreams. The caller holds the mutex.
+func (ent *Entry) refresh(cfg *fpoperator.Configuration) {
+	known := map[string]bool{}
+	for _, one := range cfg.GetServices() {
+		ser := ent.service(one.GetName())
+		ser.members = ent.registry.Service(ser.name)
+		ent.refreshService(ser)
+		for _, ups := range ser.members {
+			known[ups.GetName()] = true
+		}
+	}
+	for name := range ent.upstreams {
+		if !known[name] {
+			delete(ent.upstreams, name)
+		}
+	}
+}
+
+func (ent *Entry) refreshService(ser *service) {
+	list := make([]fpbalance.Upstream, len(ser.members))
+	incarnations := make(map[string]uint64, len(ser.members))
+	for num, ups := range ser.members {
+		incarnations[ups.GetName()] = ups.GetIncarnation()
+		list[num] = fpbalance.Upstream{
+			Name:        ups.GetName(),
+			Incarnation: ups.GetIncarnation(),
+			DataCentre:  ups.GetDataCentre(),
+			Region:      ent.cfg.RegionOf(ups.GetDataCentre()),
+			Concurrency: int(ups.GetConcurrency()),
+		}
+	}
+	ser.balancer.Update(list)
+	ent.healthChanged(ser, ser.health.Update(time.Now(), incarnations))
+	for _, ups := range ser.members {
+		ser.setUsable(ups)
+	}
+}
+
+func (ser *service) setUsable(ups *fpcontract.Upstream) {
+	name := ups.GetName()
+	ser.balancer.SetUsable(name, !ups.GetDraining() && !ser.drained[name] && !ser.ejected[name])
+}
+
+// healthChanged takes changes of health into the choice of upstreams. The caller holds the mutex.
+func (ent *Entry) healthChanged(ser *service, changes []fphealth.Change) {
+	for _, cha := range changes {
+		ent.cfg.Log.Info("health of an upstream changed", zap.String("upstream", cha.Name()), zap.Stringer("state", cha.State()))
+		ser.ejected[cha.Name()] = cha.State() == fphealth.Ejected
+		if cha.State() == fphealth.Trial {
+			ser.balancer.Readmit(cha.Name())
+		}
+	}
+	if len(changes) == 0 {
+		return
+	}
+	for _, ups := range ser.members {
+		ser.setUsable(ups)
+	}
+}
+
+// limiter returns the admission to an upstream.
+func (ent *Entry) limiter(ups *fpcontract.Upstream) *fplimit.Limiter {
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	lim := ent.upstreams[ups.GetName()]
+	if lim == nil || lim.incarnation != ups.GetIncarnation() {
+		lim = &limit{
+			incarnation: ups.GetIncarnation(),
+			limiter: fplimit.New(fplimit.CoreConfig{
+				Concurrency: int(ups.GetConcurrency()),
+				Rand:        newRand(),
+			}),
+		}
+		ent.upstreams[ups.GetName()] = lim
+	}
+	return lim.limiter
+}
+
+// find returns the state of a configured service, or nil.
+func (ent *Entry) find(name string) *service {
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	return ent.services[name]
+}
--- /dev/null
+++ b/internal/node/fpnode/node.go
@@ -0,0 +1,308 @@
+// Package fpnode runs one process of the router: it joins listeners, groups and the forwarding path according to the
+// settings.
+package fpnode
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/net/http2"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpconfig"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpschema"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgrant"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fpentry"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fppeer"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fpvoter"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings *fpsettings.Settings
+	Log      *zap.Logger
+}
+
+// Node is one process of the router. Use New to create one.
+type Node struct {
+	cfg         Config
+	incarnation uint64
+	store       *store
+	tls         *fptls.Store
+	peers       *fppeer.Peers
+	granter     *granter
+	voters      map[string]*fpvoter.Voter
+	submitters  map[string]*fppeer.Submitter
+	entry       *fpentry.Entry
+	counters    *expvar.Map
+	draining    atomic.Bool
+
+	mutex   sync.Mutex
+	waiting []<-chan error
+}
+
+// New opens the durable state and creates the parts of the process. Nothing listens before Run.
+func New(cfg Config) (*Node, error) {
+	set := cfg.Settings
+	sto, err := openStore(set.DataFolder())
+	if err != nil {
+		return nil, err
+	}
+	sec, err := fptls.FromSettings(set, cfg.Log)
+	if err != nil {
+		return nil, err
+	}
+	nod := &Node{
+		cfg:         cfg,
+		incarnation: uint64(time.Now().UnixNano()),
+		store:       sto,
+		tls:         sec,
+		voters:      map[string]*fpvoter.Voter{},
+		submitters:  map[string]*fppeer.Submitter{},
+		counters:    &expvar.Map{},
+	}
+	nod.connectPeers()
+	nod.entry = fpentry.New(nod.entryConfig())
+	if err := nod.openVoters(); err != nil {
+		return nil, err
+	}
+	if _, current := nod.configuration(); current != nil {
+		nod.entry.Reconfigure(current)
+	}
+	return nod, nil
+}
+
+func (nod *Node) vm() string { return nod.cfg.Settings.VM() }
+
+func (nod *Node) connectPeers() {
+	set := nod.cfg.Settings
+	addresses := map[string]string{}
+	for _, one := range set.VMs() {
+		addresses[one.Name()] = one.PeerAddress().String()
+	}
+	scheme := "https"
+	if nod.tls == nil {
+		scheme = "http"
+	}
+	nod.peers = fppeer.New(fppeer.Config{
+		VM: set.VM(),
+		Local: &peerService{
+			nod: nod,
+		},
+		Addresses: addresses,
+		Client:    fptls.NewClient(fptls.PeerClient(set, nod.tls)),
+		Scheme:    scheme,
+		Voters:    nod.candidates,
+	})
+	nod.granter = newGranter(set, nod.peers)
+	for _, gro := range set.Groups() {
+		nod.submitters[gro.Name()] = fppeer.NewSubmitter(nod.peers, gro.Name())
+	}
+}
+
+// newGranter returns a granter whose connections to upstreams are found silent as soon as those of the forwarding path.
+func newGranter(set *fpsettings.Settings, prs *fppeer.Peers) *granter {
+	return &granter{
+		client:  newUpstreamClient(set),
+		peers:   prs,
+		relays:  func(dataCentre string) []string { return otherVMs(set, dataCentre) },
+		clients: newClients(),
+		detours: map[string]time.Time{},
+	}
+}
+
+func newUpstreamClient(set *fpsettings.Settings) *http.Client {
+	tim := set.Timings()
+	dialer := &net.Dialer{
+		Timeout: tim.DialTimeout(),
+	}
+	return &http.Client{
+		Transport: &http2.Transport{
+			AllowHTTP:       true,
+			DialTLSContext:  plainDialer(dialer),
+			ReadIdleTimeout: tim.ReadIdle(),
+			PingTimeout:     tim.PingTimeout(),
+		},
+	}
+}
+
+// otherVMs returns the VMs of a data centre without this one.
+func otherVMs(set *fpsettings.Settings, dataCentre string) []string {
+	var names []string
+	for _, one := range set.VMs() {
+		if one.DataCentre() == dataCentre && one.Name() != set.VM() {
+			names = append(names, one.Name())
+		}
+	}
+	return names
+}
+
+// candidates returns the VMs that may lead a group: its first voters, then the other VMs with disks, which operators may
+// have added.
+func (nod *Node) candidates(group string) []string {
+	gro, ok := nod.cfg.Settings.FindGroup(group)
+	if !ok {
+		return nil
+	}
+	return gro.Voters()
+}
+
+func (nod *Node) openVoters() error {
+	set := nod.cfg.Settings
+	for _, gro := range set.Groups() {
+		if !contains(gro.Voters(), set.VM()) {
+			continue
+		}
+		tim := set.Timings()
+		vot, err := fpvoter.Open(fpvoter.Config{
+			Group:  gro.Name(),
+			VM:     set.VM(),
+			Folder: set.DataFolder(),
+			Voters: gro.Voters(),
+			Timings: fpvoter.Timings{
+				Lease:         tim.Lease(),
+				TableValidity: tim.TableValidity(),
+				Heartbeat:     tim.Heartbeat(),
+				MinElection:   tim.ElectionTimeoutMin(),
+				MaxElection:   tim.ElectionTimeoutMax(),
+			},
+			Send:          nod.peers.SendSteps,
+			Grant:         nod.granter.send,
+			Configuration: nod.configuration,
+			Keyed:         nod.keyed,
+			Validate:      nod.validate,
+			Log:           nod.cfg.Log,
+		})
+		if err != nil {
+			return err
+		}
+		nod.voters[gro.Name()] = vot
+	}
+	return nil
+}
+
+func contains(names []string, name string) bool {
+	for _, one := range names {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// entryConfig returns the configuration of the forwarding path. A VM without the role entry polls only the root group, to
+// follow the configuration.
+func (nod *Node) entryConfig() fpentry.Config {
+	set := nod.cfg.Settings
+	tim := set.Timings()
+	groups := []string{fpsettings.RootGroup}
+	serves := set.HasRole(fpsettings.RoleEntry)
+	for _, gro := range set.Groups() {
+		if serves && gro.Name() != fpsettings.RootGroup {
+			groups = append(groups, gro.Name())
+		}
+	}
+	return fpentry.Config{
+		VM:            set.VM(),
+		Incarnation:   nod.incarnation,
+		DataCentre:    set.DataCentre(),
+		Region:        set.Region(),
+		RegionOf:      nod.regionOf,
+		Groups:        groups,
+		PollHold:      tim.Poll(),
+		ReadIdle:      tim.ReadIdle(),
+		PingTimeout:   tim.PingTimeout(),
+		Serves:        serves,
+		Poll:          nod.peers.Poll,
+		Submit:        nod.submit,
+		Configuration: nod.configuration,
+		Configure:     nod.configure,
+		Schema:        func() *fpschema.Schema { return nod.store.current.Load().schema },
+		Count:         nod.count,
+		Log:           nod.cfg.Log,
+	}
+}
+
+func (nod *Node) count(name string) { nod.counters.Add(name, 1) }
+
+func (nod *Node) regionOf(dataCentre string) string {
+	for _, one := range nod.cfg.Settings.VMs() {
+		if one.DataCentre() == dataCentre {
+			return one.Region()
+		}
+	}
+	return ""
+}
+
+func (nod *Node) configuration() (fpgrant.Position, *fpoperator.Configuration) {
+	now := nod.store.current.Load()
+	return now.version, now.configuration
+}
+
+func (nod *Node) keyed(service string) bool { return nod.store.current.Load().keyed[service] }
+
+// configure puts a configuration in force on this VM.
+func (nod *Node) configure(version *fpoperator.Version, cfg *fpoperator.Configuration) {
+	changed, err := nod.store.put(version, cfg)
+	if err != nil {
+		nod.cfg.Log.Error("cannot put a configuration in force", zap.Uint64("term", version.GetTerm()), zap.Uint64("index", version.GetIndex()), zap.Error(err))
+		return
+	}
+	if !changed {
+		return
+	}
+	nod.cfg.Log.Info("configuration in force", zap.Uint64("term", version.GetTerm()), zap.Uint64("index", version.GetIndex()))
+	_, now := nod.configuration()
+	nod.entry.Reconfigure(now)
+	for _, vot := range nod.voters {
+		vot.Reconfigured()
+	}
+}
+
+// validate returns the faults of a proposed configuration.
+func (nod *Node) validate(old, next *fpoperator.Configuration) []fpconfig.Fault {
+	val := fpconfig.Validator{
+		Schema: CheckSchema,
+	}
+	for _, gro := range nod.cfg.Settings.Groups() {
+		val.Groups = append(val.Groups, gro.Name())
+	}
+	return val.Faults(old, next)
+}
+
+// submit commits a command in a group and counts refusals.
+func (nod *Node) submit(ctx context.Context, group string, cmd *fpwire.Command) (*fpwire.CommandResult, error) {
+	sub := nod.submitters[group]
+	if sub == nil {
+		return nil, fperror.New(fperror.NoQuorum, "there is no group %s", group)
+	}
+	return sub.Do(ctx, cmd)
+}
+
+func (nod *Node) announceInterval() *durationpb.Duration {
+	return durationpb.New(nod.cfg.Settings.Timings().Announce())
+}
+
+// checkUpstream refuses announcements that the router cannot use.
+func checkUpstream(ups *fpcontract.Upstream) error {
+	if ups.GetName() == "" || ups.GetService() == "" || ups.GetIncarnation() == 0 {
+		return fperror.New(fperror.InvalidRequest, "an announcement needs a name, a service and an incarnation")
+	}
+	if _, err := netip.ParseAddrPort(ups.GetAddress()); err != nil {
+		return fperror.New(fperror.InvalidRequest, "the address %q is not an IP number and port", ups.GetAddress())
+	}
+	return nil
+}
