fpbalance: age load reports by the service time and count sheds as load

The VMs read the load every 250 ms, believed it for 500 ms, and sent their requests to the same upstream together. Newcomers made it worse: at the start of a VM all upstreams were newcomers, and the first to answer drew the load of the others. Change: the half-life of a report is two typical latencies; a shed counts as load until four typical latencies later; latency weighs only above twice the lowest of the tier; the first list of upstreams needs no ramp. Done takes the error of the attempt. Conclusion: a report older than a few service times is worth less than none; own requests in flight and sheds carry the choice.

--- a/internal/route/fpbalance/balancer.go
+++ b/internal/route/fpbalance/balancer.go
@@ -22,6 +22,8 @@
 	reservedPart = 1.0 / 3
 	// meanAge is how long the means over all upstreams are reused.
 	meanAge = 10 * time.Millisecond
+	// typicalUnknown stands for the typical latency before the first answer.
+	typicalUnknown = 10 * time.Millisecond
 )
 
 // Upstream describes an upstream that has announced itself.
@@ -75,10 +77,11 @@
 	tiers   [tierCount][]*member
 	turn    int
 
-	meansAt     time.Time
-	meanOthers  float64 // reported load of other VMs per unit
-	meanLatency float64 // seconds
-	topWeight   float64
+	meansAt    time.Time
+	meanOthers float64            // reported load of other VMs per unit
+	lowest     [tierCount]float64 // lowest mean latency, seconds
+	typical    time.Duration      // lowest mean latency of all tiers
+	topWeight  float64
 }
 
 // New returns a balancer without upstreams.
@@ -89,13 +92,17 @@
 	return &Balancer{
 		cfg:     cfg,
 		members: map[string]*member{},
+		typical: typicalUnknown,
 	}
 }
 
-// Update replaces the list of upstreams. An upstream with a new incarnation starts as a newcomer.
+// Update replaces the list of upstreams. An upstream with a new incarnation starts as a newcomer. Those of the first list
+// do not, because then it is the VM that is new; if all of them had to prove themselves, the first to answer would draw
+// the load of all others.
 func (bal *Balancer) Update(ups []Upstream) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
+	first := len(bal.members) == 0
 	kept := map[string]*member{}
 	for _, up := range bal.subset(ups) {
 		mem, ok := bal.members[up.Name]
@@ -103,6 +110,9 @@
 			mem = &member{
 				usable: true,
 			}
+			if first {
+				mem.answers = rampPerUnit * max(1, up.Concurrency)
+			}
 		}
 		mem.up = up
 		mem.distance = bal.distance(up)
@@ -257,9 +267,9 @@
 	return bal.cfg.TakeLink != nil && bal.cfg.TakeLink(now, cal.Bundle, cal.Bytes)
 }
 
-// Done counts the end of a call that Choose placed. Answered states that the upstream gave a complete answer; took is then
-// the time of the attempt.
-func (bal *Balancer) Done(now time.Time, name string, answered bool, took time.Duration) {
+// Done counts the end of a call that Choose placed. A nil error is a complete answer, and took is then the time of the
+// attempt; other errors are of fperror kinds.
+func (bal *Balancer) Done(now time.Time, name string, err error, took time.Duration) {
 	bal.mut.Lock()
 	defer bal.mut.Unlock()
 	mem, ok := bal.members[name]
@@ -267,12 +277,14 @@
 		return
 	}
 	mem.inFlight = max(0, mem.inFlight-1)
-	if !answered {
-		return
+	switch {
+	case err == nil:
+		mem.answers++
+		mem.since++
+		mem.observe(now, took)
+	case fperror.Is(err, fperror.UpstreamShed):
+		mem.shed(now, shedHalfLives*bal.typical)
 	}
-	mem.answers++
-	mem.since++
-	mem.observe(now, took)
 }
 
 // InFlight returns the number of requests of this VM in flight on an upstream.
--- a/internal/route/fpbalance/balancer_test.go
+++ b/internal/route/fpbalance/balancer_test.go
@@ -39,7 +39,7 @@
 	bal.Update(ups(2))
 	for _, up := range ups(2) {
 		for range 100 {
-			bal.Done(start, up.Name, true, time.Millisecond)
+			bal.Done(start, up.Name, nil, time.Millisecond)
 		}
 	}
 	return bal
@@ -119,7 +119,7 @@
 				continue
 			}
 			used[name] = true
-			bal.Done(start, name, true, time.Millisecond)
+			bal.Done(start, name, nil, time.Millisecond)
 		}
 	}
 	if len(used) == 0 || len(used) > 3 {
@@ -144,13 +144,13 @@
 			if name == "a1-0" {
 				count++
 			} else {
-				bal.Done(start, name, true, time.Millisecond)
+				bal.Done(start, name, nil, time.Millisecond)
 			}
 		}
 		if count > 1 {
 			t.Errorf("%v: %d requests before the first answer", pol, count)
 		}
-		bal.Done(start, "a1-0", true, time.Millisecond)
+		bal.Done(start, "a1-0", nil, time.Millisecond)
 		share := func(calls int) float64 {
 			got := 0
 			for range calls {
@@ -158,7 +158,7 @@
 				if name == "a1-0" {
 					got++
 				}
-				bal.Done(start, name, true, time.Millisecond)
+				bal.Done(start, name, nil, time.Millisecond)
 			}
 			return float64(got) / float64(calls)
 		}
--- a/internal/route/fpbalance/member.go
+++ b/internal/route/fpbalance/member.go
@@ -6,9 +6,21 @@
 )
 
 const (
-	// reportHalfLife is the age at which a load report has lost half its weight. Requests take milliseconds, so a load
-	// seen seconds ago says little.
-	reportHalfLife = 500 * time.Millisecond
+	// reportHalfLives is the number of typical latencies after which a load report has lost half its weight. The load of
+	// an upstream changes with every request, and VMs that believe an old report send their requests to the same
+	// upstream together. With a half-life of 500 ms and requests of 10 ms, this made reports worse than none.
+	reportHalfLives = 2
+	// shortestHalfLife and longestHalfLife bound the half-life of a report.
+	shortestHalfLife = 5 * time.Millisecond
+	longestHalfLife  = 500 * time.Millisecond
+	// shedLoad is the load per unit that a shed request proves; shedHalfLives is the number of typical latencies after
+	// which the proof has lost half its weight.
+	shedLoad      = 1.0
+	shedHalfLives = 4
+	// slowRatio is the ratio of a mean latency to the lowest in the tier from which an upstream counts as slow. Means of
+	// exponential service times differ by less than that by chance. slowGain is the growth of the factor beyond it.
+	slowRatio = 2.0
+	slowGain  = 1.5
 	// repeatsTrusted is the number of equal reports in a row after which a report loses weight: the load of an upstream
 	// that serves requests changes, so a report that never changes carries no information.
 	repeatsTrusted = 8
@@ -53,6 +65,9 @@
 
 	latency   float64 // seconds, moving mean
 	latencyAt time.Time
+
+	pressure   float64 // load proven by sheds
+	pressureAt time.Time
 }
 
 // units returns the concurrency, at least 1.
@@ -82,15 +97,34 @@
 }
 
 // trust returns the weight of the last report, between 0 and 1.
-func (mem *member) trust(now time.Time) float64 {
+func (mem *member) trust(now time.Time, halfLife time.Duration) float64 {
 	if !mem.reported {
 		return 0
 	}
-	trust := math.Exp2(-float64(now.Sub(mem.reportAt)) / float64(reportHalfLife))
+	trust := decay(now.Sub(mem.reportAt), halfLife)
 	if mem.repeats > repeatsTrusted {
 		trust *= math.Exp2(-float64(mem.repeats-repeatsTrusted) / repeatsTrusted)
 	}
-	return min(1, trust)
+	return trust
+}
+
+// decay returns the weight that is left after an age.
+func decay(age, halfLife time.Duration) float64 {
+	return min(1, math.Exp2(-float64(age)/float64(halfLife)))
+}
+
+// shed notes that the upstream refused a request because it was full.
+func (mem *member) shed(now time.Time, halfLife time.Duration) {
+	mem.pressure = min(2*shedLoad, mem.pressureNow(now, halfLife)+shedLoad)
+	mem.pressureAt = now
+}
+
+// pressureNow returns the load that recent sheds prove.
+func (mem *member) pressureNow(now time.Time, halfLife time.Duration) float64 {
+	if mem.pressure == 0 {
+		return 0
+	}
+	return mem.pressure * decay(now.Sub(mem.pressureAt), halfLife)
 }
 
 // observe adds a latency to the moving mean.
@@ -103,13 +137,12 @@
 	mem.latencyAt = now
 }
 
-// slowness returns the ratio of the mean latency to that of all upstreams, which tends to 1 with the age of the last
-// answer.
-func (mem *member) slowness(now time.Time, mean float64) float64 {
-	if mem.latency == 0 || mean == 0 {
+// slowness returns the factor by which the load of a slow upstream weighs more, given the lowest mean latency of its tier.
+// It tends to 1 with the age of the last answer.
+func (mem *member) slowness(now time.Time, lowest float64) float64 {
+	if mem.latency == 0 || lowest == 0 {
 		return 1
 	}
-	ratio := mem.latency / mean
-	age := now.Sub(mem.latencyAt)
-	return 1 + (ratio-1)*math.Exp2(-float64(age)/float64(latencyAge))
+	excess := max(0, mem.latency/lowest-slowRatio)
+	return 1 + slowGain*excess*decay(now.Sub(mem.latencyAt), latencyAge)
 }
--- a/internal/route/fpbalance/pick.go
+++ b/internal/route/fpbalance/pick.go
@@ -148,19 +148,24 @@
 	return two
 }
 
-// load estimates the requests on an upstream per unit of concurrency: those of this VM, plus those of other VMs. The
-// report of the others counts by its trust, and the mean over all upstreams fills the rest, because a report that is not
-// believed must make an upstream neither more nor less attractive.
+// load estimates the requests on an upstream per unit of concurrency: those of this VM, plus those of other VMs, plus
+// what sheds prove. The report of the others counts by its trust, and the mean over all upstreams fills the rest, because
+// a report that is not believed must make an upstream neither more nor less attractive.
 func (bal *Balancer) load(now time.Time, mem *member) float64 {
-	trust := mem.trust(now)
+	trust := mem.trust(now, bal.halfLife())
 	others := trust*mem.others/mem.units() + (1-trust)*bal.meanOthers
-	return perUnit(mem) + others
+	return perUnit(mem) + others + mem.pressureNow(now, shedHalfLives*bal.typical)
 }
 
 // score is the load including the new request, scaled by how slow the upstream answers. Latency is measured here and
 // cannot be misreported.
 func (bal *Balancer) score(now time.Time, mem *member) float64 {
-	return (bal.load(now, mem) + 1/mem.units()) * mem.slowness(now, bal.meanLatency)
+	return (bal.load(now, mem) + 1/mem.units()) * mem.slowness(now, bal.lowest[mem.distance])
+}
+
+// halfLife returns the half-life of load reports.
+func (bal *Balancer) halfLife() time.Duration {
+	return min(longestHalfLife, max(shortestHalfLife, reportHalfLives*bal.typical))
 }
 
 // refreshMeans computes the means over all usable upstreams, at most once per meanAge.
@@ -170,26 +175,36 @@
 	}
 	bal.meansAt = now
 	bal.topWeight = 0
-	others, trusts, latencies, measured := 0.0, 0.0, 0.0, 0.0
+	bal.lowest = [tierCount]float64{}
+	others, trusts := 0.0, 0.0
 	for _, mem := range bal.members {
 		if !mem.usable {
 			continue
 		}
 		bal.topWeight = max(bal.topWeight, mem.weight())
-		trust := mem.trust(now)
+		trust := mem.trust(now, bal.halfLife())
 		others += trust * mem.others / mem.units()
 		trusts += trust
-		if mem.latency > 0 {
-			latencies += mem.latency
-			measured++
+		if low := &bal.lowest[mem.distance]; mem.latency > 0 && (*low == 0 || mem.latency < *low) {
+			*low = mem.latency
 		}
 	}
 	bal.meanOthers = 0
 	if trusts > 0 {
 		bal.meanOthers = others / trusts
 	}
-	bal.meanLatency = 0
-	if measured > 0 {
-		bal.meanLatency = latencies / measured
+	bal.refreshTypical()
+}
+
+// refreshTypical sets the typical latency, which the network of farther tiers does not inflate.
+func (bal *Balancer) refreshTypical() {
+	lowest := 0.0
+	for _, low := range bal.lowest {
+		if low > 0 && (lowest == 0 || low < lowest) {
+			lowest = low
+		}
+	}
+	if lowest > 0 {
+		bal.typical = time.Duration(lowest * float64(time.Second))
 	}
 }
