--- a/internal/config/fpsettings/check.go
+++ b/internal/config/fpsettings/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -157,8 +158,11 @@
 
 func (set *Settings) checkSecurity(doc *document) {
 	hasTLS := set.tls.certificate != "" || doc.reported("tls")
-	if hasTLS == set.plainTextLoopback {
-		doc.fault("plainTextLoopback", set.plainTextLoopback, "either tls or plainTextLoopback, and not both")
+	if hasTLS && set.plainTextLoopback {
+		doc.fault("plainTextLoopback", true, "false or absent, because tls is set")
+	}
+	if !hasTLS && !set.plainTextLoopback && !doc.reported("plainTextLoopback") {
+		doc.fault("tls", nil, "an object, unless plainTextLoopback is true")
 	}
 	if !set.plainTextLoopback {
 		return
@@ -176,3 +180,36 @@
 		check(index("vms", at)+".operatorAddress", vm.operatorAddress)
 	}
 }
+
+// CheckAgainst reports the parts that have to be equal on all VMs of a deployment and differ from those of another VM.
+func (set *Settings) CheckAgainst(other *Settings) []Fault {
+	doc := &document{}
+	same := " as in the settings of " + other.vm
+	if set.vm == other.vm {
+		doc.fault("vm", set.vm, "a name that no other settings file has")
+	}
+	checkEqual(doc, "vms", set.vms, other.vms, same)
+	checkEqual(doc, "groups", set.groups, other.groups, same)
+	for at, tim := range set.timings.named() {
+		if want := other.timings.named()[at].value; tim.value != want {
+			doc.fault("timings."+tim.name, tim.value.String(), want.String()+same)
+		}
+	}
+	if set.plainTextLoopback != other.plainTextLoopback {
+		doc.fault("plainTextLoopback", set.plainTextLoopback, fmt.Sprint(other.plainTextLoopback)+same)
+	}
+	return doc.faults
+}
+
+// checkEqual reports the entries of a list that differ.
+func checkEqual[T any](doc *document, path string, got, want []T, same string) {
+	if len(got) != len(want) {
+		doc.fault(path, fmt.Sprintf("%d entries", len(got)), fmt.Sprintf("%d entries", len(want))+same)
+		return
+	}
+	for at := range got {
+		if !reflect.DeepEqual(got[at], want[at]) {
+			doc.fault(index(path, at), fmt.Sprint(got[at]), fmt.Sprint(want[at])+same)
+		}
+	}
+}
--- a/internal/config/fpsettings/fault.go
+++ b/internal/config/fpsettings/fault.go
@@ -45,11 +45,11 @@
 	faults []Fault
 }
 
-// Error returns one line per fault.
+// Error returns the number of faults, followed by one line per fault.
 func (err *FaultError) Error() string {
-	lines := make([]string, 0, len(err.faults))
+	lines := []string{fmt.Sprintf("faults: %d", len(err.faults))}
 	for _, fau := range err.faults {
-		lines = append(lines, fau.String())
+		lines = append(lines, "  "+fau.String())
 	}
 	return strings.Join(lines, "\n")
 }
@@ -71,5 +71,5 @@
 	cause := &FaultError{
 		faults: slices.Clone(faults),
 	}
-	return fperror.Wrap(kin, cause, "%s: %d faults\n", file, len(faults))
+	return fperror.Wrap(kin, cause, "%s", file)
 }
--- a/internal/config/fpsettings/member.go
+++ b/internal/config/fpsettings/member.go
@@ -1,8 +1,10 @@
 package fpsettings
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 )
 
 // VM is one entry of the static list of VMs.
@@ -36,6 +38,12 @@
 // HasRole reports whether the VM has a role.
 func (vm VM) HasRole(rol Role) bool { return slices.Contains(vm.roles, rol) }
 
+// String describes the VM in one line.
+func (vm VM) String() string {
+	return fmt.Sprintf("%s in %s, %s, roles %s, peers %s, operators %s",
+		vm.name, vm.dataCentre, vm.region, sortedRoles(vm.roles), vm.peerAddress, vm.operatorAddress)
+}
+
 func readVM(obj *object) VM {
 	return VM{
 		name:            obj.name("name"),
@@ -84,6 +92,15 @@
 // Scope returns the data centres to whose upstreams the group grants slots. Only that of root may be empty.
 func (gro Group) Scope() []string { return slices.Clone(gro.scope) }
 
+// String describes the group in one line.
+func (gro Group) String() string {
+	scope := "none"
+	if len(gro.scope) > 0 {
+		scope = strings.Join(gro.scope, ", ")
+	}
+	return fmt.Sprintf("%s, voters %s; scope %s", gro.name, strings.Join(gro.voters, ", "), scope)
+}
+
 func readGroup(obj *object) Group {
 	gro := Group{
 		name:   obj.name("name"),
--- a/internal/config/fpsettings/reader.go
+++ b/internal/config/fpsettings/reader.go
@@ -61,18 +61,26 @@
 
 func (null) MarshalJSON() ([]byte, error) { return []byte("null"), nil }
 
-// decode returns the tree of a JSON document. Unlike json.Unmarshal it reports a field that stands twice.
-func (doc *document) decode(data []byte) (any, error) {
+// decode returns the tree of a JSON object, or reports why there is none. Unlike json.Unmarshal it reports a field that
+// stands twice.
+func (doc *document) decode(data []byte) (tree map[string]any, ok bool) {
+	const accepted = "one JSON object"
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	value, err := doc.decodeValue(dec, "", 0)
 	if err != nil {
-		return nil, err
+		doc.fault("(file)", fmt.Sprintf("at byte %d: %v", dec.InputOffset(), err), accepted)
+		return nil, false
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("text after the end of the document")
+		doc.fault("(file)", fmt.Sprintf("at byte %d: text after the end", dec.InputOffset()), accepted)
+		return nil, false
+	}
+	tree, ok = value.(map[string]any)
+	if !ok {
+		doc.fault("(file)", value, accepted)
 	}
-	return value, nil
+	return tree, ok
 }
 
 func (doc *document) decodeValue(dec *json.Decoder, path string, depth int) (any, error) {
@@ -255,7 +263,7 @@
 	})
 }
 
-// path returns the empty string for an absent field.
+// file reads a path; it returns the empty string for an absent field.
 func (obj *object) file(name string) string {
 	if _, present := obj.take(name); !present {
 		return ""
--- a/internal/config/fpsettings/settings.go
+++ b/internal/config/fpsettings/settings.go
@@ -72,13 +72,8 @@
 
 func parse(file string, data []byte, folder string) (*Settings, error) {
 	doc := &document{}
-	tree, err := doc.decode(data)
-	if err != nil {
-		doc.fault("(file)", err.Error(), "one JSON object")
-		return nil, AsError(fperror.InvalidSettings, file, doc.faults)
-	}
-	if _, ok := tree.(map[string]any); !ok {
-		doc.fault("(file)", tree, "one JSON object")
+	tree, ok := doc.decode(data)
+	if !ok {
 		return nil, AsError(fperror.InvalidSettings, file, doc.faults)
 	}
 	set := &Settings{}
--- a/internal/config/fpsettings/settings_test.go
+++ b/internal/config/fpsettings/settings_test.go
@@ -67,65 +67,64 @@
 
 // TestFaults guards each rule: every change of the valid file is reported at exactly the given field.
 func TestFaults(t *testing.T) {
-	for _, tst := range []struct {
-		name, old, new, field string
-	}{
-		{"field twice", `"dataFolder": "data",`, `"dataFolder": "data", "dataFolder": "other",`, "dataFolder"},
-		{"missing name", `"vm": "bergen-a-1", `, ``, "vm"},
-		{"null", `"dataFolder": "data"`, `"dataFolder": null`, "dataFolder"},
-		{"name in upper case", `"name": "root"`, `"name": "Root"`, "groups[0].name"},
-		{"no folder", `"dataFolder": "data",`, ``, "dataFolder"},
-		{"no role", `"roles": ["entry", "control"],
-  "dataF`, `"roles": [], "dataF`, "roles"},
-		{"entry without callers", `"callers": {"address": "127.0.0.1:7001"},`, ``, "listeners.callers"},
-		{"host name", `"127.0.0.1:7001"`, `"localhost:7001"`, "listeners.callers.address"},
-		{"port 0", `"127.0.0.1:7001"`, `"127.0.0.1:0"`, "listeners.callers.address"},
-		{"limit as text", `7001"}`, `7001", "maxConnections": "9"}`, "listeners.callers.maxConnections"},
-		{"limit with a fraction", `7001"}`, `7001", "maxBodyBytes": 65536.5}`, "listeners.callers.maxBodyBytes"},
-		{"VM not listed", `"vm": "bergen-a-1"`, `"vm": "bergen-a-9"`, "vm"},
-		{"other data centre than listed", `"dataCentre": "bergen-a", "region": "vestland",
-  `, `"dataCentre": "oslo-a", "region": "vestland",
-  `, "dataCentre"},
-		{"other address than listed", `"peers": {"address": "127.0.0.1:7101"}`, `"peers": {"address": "127.0.0.1:7109"}`, "listeners.peers.address"},
-		{"VM twice", `"name": "oslo-a-1"`, `"name": "bergen-a-1"`, "vms[1].name"},
-		{"data centre in two regions", `"dataCentre": "oslo-a"`, `"dataCentre": "bergen-a"`, "vms[1].region"},
-		{"address twice", `"operatorAddress": "127.0.0.1:7202"`, `"operatorAddress": "127.0.0.1:7101"`, "vms[1].operatorAddress"},
-		{"voter not listed", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-b-1"]}`, "groups[0].voters[0]"},
-		{"voter twice", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-a-1", "bergen-a-1"]}`, "groups[0].voters[1]"},
-		{"no voter", `"voters": ["bergen-a-1"]}`, `"voters": []}`, "groups[0].voters"},
-		{"overlapping scopes", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-a-1"], "scope": ["oslo-a"]}`, "groups[1].scope[1]"},
-		{"unknown data centre", `"scope": ["bergen-a",`, `"scope": ["bergen-c",`, "groups[1].scope[0]"},
-		{"no scope", `"scope": ["bergen-a", "oslo-a"]`, `"scope": []`, "groups[1].scope"},
-		{"no root", `"name": "root"`, `"name": "roots"`, "groups[0].scope"},
-		{"plain text beyond loopback", `"peerAddress": "127.0.0.1:7102"`, `"peerAddress": "10.0.0.2:7102"`, "vms[1].peerAddress"},
-		{"neither TLS nor plain text", `"plainTextLoopback": true`, `"plainTextLoopback": false`, "plainTextLoopback"},
-		{"TLS without a key", `"plainTextLoopback": true`, `"tls": {"certificate": "a", "authority": "b",
-		"vmIdentities": ["x"], "operatorIdentities": ["y"]}`, "tls.key"},
-		{"one identity in two roles", `"plainTextLoopback": true`, `"tls": {"certificate": "a", "key": "c", "authority": "b",
-		"vmIdentities": ["x"], "operatorIdentities": ["x"]}`, "tls.operatorIdentities[0]"},
-		{"duration as number", `"250ms"`, `250`, "timings.drainDelay"},
-		{"election before the third heartbeat", `"250ms"`, `"1s", "heartbeat": "101ms"`, "timings.electionTimeoutMin"},
-		{"table expires before an election", `"250ms"`, `"1s", "tableValidity": "850ms"`, "timings.tableValidity"},
-		{"silence found too late", `"250ms"`, `"1s", "readIdle": "1101ms"`, "timings.readIdle"},
-		{"log level", `"timings"`, `"logLevel": "loud", "timings"`, "logLevel"},
-		{"text after the end", `"timings": {"drainDelay": "250ms"}
-}`, `"timings": {}} {}`, "(file)"},
-		{"not an object", valid, `[]`, "(file)"},
-		{"too deep", `"data",`, strings.Repeat("[", 100) + strings.Repeat("]", 100) + ",", "(file)"},
-	} {
-		t.Run(tst.name, func(t *testing.T) {
-			if strings.Count(valid, tst.old) != 1 {
-				t.Fatalf("%q stands %d times in the valid file", tst.old, strings.Count(valid, tst.old))
+	refuses := func(name, old, text, field string) {
+		t.Run(name, func(t *testing.T) {
+			if strings.Count(valid, old) != 1 {
+				t.Fatalf("%q stands %d times in the valid file", old, strings.Count(valid, old))
 			}
-			_, err := fpsettings.Parse([]byte(strings.Replace(valid, tst.old, tst.new, 1)), "/")
+			_, err := fpsettings.Parse([]byte(strings.Replace(valid, old, text, 1)), "/")
 			for _, fau := range fpsettings.FaultsOf(err) {
-				if fau.Field() == tst.field {
+				if fau.Field() == field {
 					return
 				}
 			}
-			t.Errorf("no fault of %s in: %v", tst.field, err)
+			t.Errorf("no fault of %s in: %v", field, err)
 		})
 	}
+	refuses("field twice", `"dataFolder": "data",`, `"dataFolder": "data", "dataFolder": "other",`, "dataFolder")
+	refuses("missing name", `"vm": "bergen-a-1", `, ``, "vm")
+	refuses("null", `"dataFolder": "data"`, `"dataFolder": null`, "dataFolder")
+	refuses("name in upper case", `"name": "root"`, `"name": "Root"`, "groups[0].name")
+	refuses("no folder", `"dataFolder": "data",`, ``, "dataFolder")
+	refuses("no role", `"roles": ["entry", "control"],
+  "dataF`, `"roles": [], "dataF`, "roles")
+	refuses("entry without callers", `"callers": {"address": "127.0.0.1:7001"},`, ``, "listeners.callers")
+	refuses("host name", `"127.0.0.1:7001"`, `"localhost:7001"`, "listeners.callers.address")
+	refuses("port 0", `"127.0.0.1:7001"`, `"127.0.0.1:0"`, "listeners.callers.address")
+	refuses("limit as text", `7001"}`, `7001", "maxConnections": "9"}`, "listeners.callers.maxConnections")
+	refuses("limit with a fraction", `7001"}`, `7001", "maxBodyBytes": 65536.5}`, "listeners.callers.maxBodyBytes")
+	refuses("VM not listed", `"vm": "bergen-a-1"`, `"vm": "bergen-a-9"`, "vm")
+	refuses("other data centre than listed", `"dataCentre": "bergen-a", "region": "vestland",
+  `, `"dataCentre": "oslo-a", "region": "vestland",
+  `, "dataCentre")
+	refuses("other address than listed", `"peers": {"address": "127.0.0.1:7101"}`, `"peers": {"address": "127.0.0.1:7109"}`, "listeners.peers.address")
+	refuses("VM twice", `"name": "oslo-a-1"`, `"name": "bergen-a-1"`, "vms[1].name")
+	refuses("data centre in two regions", `"dataCentre": "oslo-a"`, `"dataCentre": "bergen-a"`, "vms[1].region")
+	refuses("address twice", `"operatorAddress": "127.0.0.1:7202"`, `"operatorAddress": "127.0.0.1:7101"`, "vms[1].operatorAddress")
+	refuses("voter not listed", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-b-1"]}`, "groups[0].voters[0]")
+	refuses("voter twice", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-a-1", "bergen-a-1"]}`, "groups[0].voters[1]")
+	refuses("no voter", `"voters": ["bergen-a-1"]}`, `"voters": []}`, "groups[0].voters")
+	refuses("overlapping scopes", `"voters": ["bergen-a-1"]}`, `"voters": ["bergen-a-1"], "scope": ["oslo-a"]}`, "groups[1].scope[1]")
+	refuses("unknown data centre", `"scope": ["bergen-a",`, `"scope": ["bergen-c",`, "groups[1].scope[0]")
+	refuses("no scope", `"scope": ["bergen-a", "oslo-a"]`, `"scope": []`, "groups[1].scope")
+	refuses("no root", `"name": "root"`, `"name": "roots"`, "groups[0].scope")
+	refuses("plain text beyond loopback", `"peerAddress": "127.0.0.1:7102"`, `"peerAddress": "10.0.0.2:7102"`, "vms[1].peerAddress")
+	refuses("neither TLS nor plain text", `"plainTextLoopback": true`, `"plainTextLoopback": false`, "tls")
+	refuses("both TLS and plain text", `"plainTextLoopback": true`, `"plainTextLoopback": true, "tls": {"certificate": "a",
+		"key": "c", "authority": "b", "vmIdentities": ["x"], "operatorIdentities": ["y"]}`, "plainTextLoopback")
+	refuses("TLS without a key", `"plainTextLoopback": true`, `"tls": {"certificate": "a", "authority": "b",
+		"vmIdentities": ["x"], "operatorIdentities": ["y"]}`, "tls.key")
+	refuses("one identity in two roles", `"plainTextLoopback": true`, `"tls": {"certificate": "a", "key": "c", "authority": "b",
+		"vmIdentities": ["x"], "operatorIdentities": ["x"]}`, "tls.operatorIdentities[0]")
+	refuses("duration as number", `"250ms"`, `250`, "timings.drainDelay")
+	refuses("election before the third heartbeat", `"250ms"`, `"1s", "heartbeat": "101ms"`, "timings.electionTimeoutMin")
+	refuses("table expires before an election", `"250ms"`, `"1s", "tableValidity": "850ms"`, "timings.tableValidity")
+	refuses("silence found too late", `"250ms"`, `"1s", "readIdle": "1101ms"`, "timings.readIdle")
+	refuses("log level", `"timings"`, `"logLevel": "loud", "timings"`, "logLevel")
+	refuses("text after the end", `"timings": {"drainDelay": "250ms"}
+}`, `"timings": {}} {}`, "(file)")
+	refuses("not an object", valid, `[]`, "(file)")
+	refuses("too deep", `"data",`, strings.Repeat("[", 100)+strings.Repeat("]", 100)+",", "(file)")
 }
 
 // TestValidSettings guards the defaults of the design page and the resolution of relative paths.
--- a/internal/config/fpsettings/timings.go
+++ b/internal/config/fpsettings/timings.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Timings are the durations of the protocols between VMs and upstreams. They have to be equal on all VMs, because leases
-// and elections rely on the timings of others.
+// Timings are the durations of the protocols between VMs and upstreams. All but drainDelay and configurationWait have to be
+// equal on all VMs, because leases and elections rely on the timings of others.
 type Timings struct {
 	lease              time.Duration
 	tableValidity      time.Duration
@@ -146,3 +146,31 @@
 		obj.fault("readIdle", tim.readIdle.String(), "at most 2s together with pingTimeout")
 	}
 }
+
+// namedDuration is one timing with the name of its field.
+type namedDuration struct {
+	name  string
+	value time.Duration
+}
+
+// named returns the timings that have to be equal on all VMs. drainDelay and configurationWait concern one VM only.
+func (tim Timings) named() []namedDuration {
+	var list []namedDuration
+	add := func(name string, value time.Duration) {
+		list = append(list, namedDuration{
+			name:  name,
+			value: value,
+		})
+	}
+	add("lease", tim.lease)
+	add("tableValidity", tim.tableValidity)
+	add("heartbeat", tim.heartbeat)
+	add("electionTimeoutMin", tim.electionTimeoutMin)
+	add("electionTimeoutMax", tim.electionTimeoutMax)
+	add("poll", tim.poll)
+	add("announce", tim.announce)
+	add("readIdle", tim.readIdle)
+	add("pingTimeout", tim.pingTimeout)
+	add("dialTimeout", tim.dialTimeout)
+	return list
+}
--- a/internal/node/fpcommand/check.go
+++ b/internal/node/fpcommand/check.go
@@ -15,12 +15,20 @@
 	Settings []string `arg:"" help:"Paths of settings files."`
 }
 
-// Run checks every file, prints what each describes, and returns the faults of all files together.
+// Run checks every file, prints what each describes, and returns the faults of all files together. Files that are checked
+// together belong to one deployment, so they also have to agree.
 func (com *checkCommand) Run(pro *Program) error {
 	var failed []string
+	var first *fpsettings.Settings
 	for _, path := range com.Settings {
-		if err := pro.checkFile(path); err != nil {
+		set, err := pro.checkFile(path)
+		if err == nil && first != nil {
+			err = fpsettings.AsError(fperror.InvalidSettings, path, set.CheckAgainst(first))
+		}
+		if err != nil {
 			failed = append(failed, err.Error())
+		} else if first == nil {
+			first = set
 		}
 	}
 	if len(failed) > 0 {
@@ -29,19 +37,19 @@
 	return nil
 }
 
-func (pro *Program) checkFile(path string) error {
+func (pro *Program) checkFile(path string) (*fpsettings.Settings, error) {
 	set, err := fpsettings.Load(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	fmt.Fprintf(pro.Stdout, "%s\n", path)
 	tab := tabwriter.NewWriter(pro.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(tab, "%s\tok\n", path)
 	describe(tab, set)
 	err = pro.checkInitial(tab, set)
 	if flushErr := tab.Flush(); flushErr != nil && err == nil {
 		err = flushErr
 	}
-	return err
+	return set, err
 }
 
 func describe(out io.Writer, set *fpsettings.Settings) {
@@ -62,11 +70,7 @@
 	fmt.Fprintf(out, "  operators\t%s, %s\n", set.Operators().Address(), security)
 	fmt.Fprintf(out, "  VMs\t%d\n", len(set.VMs()))
 	for _, gro := range set.Groups() {
-		scope := "none"
-		if len(gro.Scope()) > 0 {
-			scope = strings.Join(gro.Scope(), ", ")
-		}
-		fmt.Fprintf(out, "  group %s\tvoters %s; scope %s\n", gro.Name(), strings.Join(gro.Voters(), ", "), scope)
+		fmt.Fprintf(out, "  group\t%s\n", gro)
 	}
 }
 
@@ -85,12 +89,12 @@
 		return err
 	}
 	if pro.CheckSchema == nil {
-		fmt.Fprintf(out, "  initial configuration\t%s, %d services, schema not checked in this build\n", name, len(cfg.GetServices()))
+		fmt.Fprintf(out, "  initial configuration\t%s, services: %d, schema not checked in this build\n", name, len(cfg.GetServices()))
 		return nil
 	}
 	if err := pro.CheckSchema(cfg); err != nil {
 		return fperror.Wrap(fperror.InvalidConfiguration, err, "%s: schema", name)
 	}
-	fmt.Fprintf(out, "  initial configuration\t%s, %d services, schema ok\n", name, len(cfg.GetServices()))
+	fmt.Fprintf(out, "  initial configuration\t%s, services: %d, schema ok\n", name, len(cfg.GetServices()))
 	return nil
 }
--- a/internal/node/fptls/fptls_test.go
+++ b/internal/node/fptls/fptls_test.go
@@ -179,34 +179,28 @@
 	tlsConfig := anonymous.Transport.(*http.Transport).TLSClientConfig
 	tlsConfig.GetClientCertificate = nil
 
-	for _, tst := range []struct {
-		name string
-		role fptls.Role
-		cli  *http.Client
-		want string
-	}{
-		{"VM to peers", fptls.RoleVM, client(vm), "bergen-a-1.test HTTP/2.0"},
-		{"operator to operators", fptls.RoleOperator, client(operator), "spiffe://test/operator HTTP/2.0"},
-		{"VM to operators", fptls.RoleOperator, client(vm), ""},
-		{"operator to peers", fptls.RoleVM, client(operator), ""},
-		{"stranger to peers", fptls.RoleVM, client(stranger), ""},
-		{"no certificate", fptls.RoleVM, anonymous, ""},
-		{"other authority", fptls.RoleVM, client(foreign), ""},
-	} {
-		t.Run(tst.name, func(t *testing.T) {
+	answers := func(name string, rol fptls.Role, cli *http.Client, want string) {
+		t.Run(name, func(t *testing.T) {
 			address := serve(t, fptls.ServerConfig{
 				Store: vm,
-				Role:  tst.role,
+				Role:  rol,
 			})
-			got, err := get(tst.cli, "https://"+address)
-			if tst.want == "" && err == nil {
+			got, err := get(cli, "https://"+address)
+			if want == "" && err == nil {
 				t.Errorf("admitted with answer %q", got)
 			}
-			if tst.want != "" && (err != nil || got != tst.want) {
-				t.Errorf("got %q, %v; want %q", got, err, tst.want)
+			if want != "" && (err != nil || got != want) {
+				t.Errorf("got %q, %v; want %q", got, err, want)
 			}
 		})
 	}
+	answers("VM to peers", fptls.RoleVM, client(vm), "bergen-a-1.test HTTP/2.0")
+	answers("operator to operators", fptls.RoleOperator, client(operator), "spiffe://test/operator HTTP/2.0")
+	answers("VM to operators", fptls.RoleOperator, client(vm), "")
+	answers("operator to peers", fptls.RoleVM, client(operator), "")
+	answers("stranger to peers", fptls.RoleVM, client(stranger), "")
+	answers("no certificate", fptls.RoleVM, anonymous, "")
+	answers("other authority", fptls.RoleVM, client(foreign), "")
 	if vm.Refused() == 0 {
 		t.Error("refused peers are not counted")
 	}
