fpserve: tell the target how an attempt ended

Cause: the choice of an upstream learns from errors, and the end of an attempt carried only its time. Ruled out: a table from targets to results in fpentry, because the attempt knows both. Change: Target.Done also takes the error. Conclusion: fpentry passes the error on to fpbalance.

--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -49,7 +49,7 @@
 		Slot:     fli.Place().Slot,
 		Epoch:    fli.Epoch(),
 		Check:    fli.Check,
-		Done:     fli.Done,
+		Done:     func(busy time.Duration, _ error) { fli.Done(busy) },
 	}, nil
 }
 
@@ -70,13 +70,14 @@
 	}
 	ups := ent.registry.Upstream(chosen)
 	if ups == nil {
-		ser.balancer.Done(time.Now(), chosen, false, 0)
-		return nil, fperror.New(fperror.NoUpstream, "the address of %s is not known", chosen)
+		err := fperror.New(fperror.NoUpstream, "the address of %s is not known", chosen)
+		ser.balancer.Done(time.Now(), chosen, err, 0)
+		return nil, err
 	}
 	return &fpserve.Target{
 		Upstream: ups,
-		Done: func(busy time.Duration) {
-			ser.balancer.Done(time.Now(), chosen, busy > 0, busy)
+		Done: func(busy time.Duration, err error) {
+			ser.balancer.Done(time.Now(), chosen, err, busy)
 		},
 	}, nil
 }
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -38,7 +38,7 @@
 	}
 	release, err := exc.ser.cfg.Admit(exc.ctx, exc.cal, tar)
 	if err != nil {
-		tar.done(0)
+		tar.done(0, err)
 		return 0, exc.ended(err)
 	}
 	att := &attempt{
@@ -161,14 +161,14 @@
 	}
 	att.release(res)
 	if res.Err != nil && fperror.KindOf(res.Err).Answer().Outcome() == fperror.NotRun {
-		att.target.done(0)
+		att.target.done(0, res.Err)
 		return
 	}
-	att.target.done(res.Latency)
+	att.target.done(res.Latency, res.Err)
 }
 
-func (tar *Target) done(busy time.Duration) {
+func (tar *Target) done(busy time.Duration, err error) {
 	if tar.Done != nil {
-		tar.Done(busy)
+		tar.Done(busy, err)
 	}
 }
--- a/internal/route/fpserve/config.go
+++ b/internal/route/fpserve/config.go
@@ -63,8 +63,8 @@
 	// Check is called right before the request is forwarded; an error stops it. Nil: no check.
 	Check func() error
 	// Done is called once, when the request no longer runs on the upstream, with the time that it took there, or 0 when
-	// it did not run. Nil: not told.
-	Done func(busy time.Duration)
+	// it did not run. The error is nil after a complete answer. Nil: not told.
+	Done func(busy time.Duration, err error)
 }
 
 // Result is how one attempt ended.
