fpdemo: run the whole path in one process

Cause: the README promises one command that shows what the router does. Ruled out: starting processes from the demo, because a process of the product starts no other.

--- a/api/upstream/fpfence/fence.go
+++ b/api/upstream/fpfence/fence.go
@@ -32,6 +32,9 @@
 	Service string
 	// Keyed states that the service is keyed, so that every request needs a fence.
 	Keyed bool
+	// Unchecked states that requests do not pass through Handler. The router then moves a slot only after the largest
+	// deadline of the service.
+	Unchecked bool
 	// DataCentre holds the upstream.
 	DataCentre string
 	// Address is the IP number and port at which the router reaches the upstream.
@@ -103,7 +106,7 @@
 		Service:        fen.cfg.Service,
 		DataCentre:     fen.cfg.DataCentre,
 		Address:        fen.cfg.Address,
-		ChecksFence:    true,
+		ChecksFence:    !fen.cfg.Unchecked,
 		Concurrency:    fen.cfg.Concurrency,
 		MaxConnections: fen.cfg.MaxConnections,
 		Draining:       fen.draining,
--- a/cmd/foxtailpulley/main.go
+++ b/cmd/foxtailpulley/main.go
@@ -5,13 +5,33 @@
 	"context"
 	"os"
 
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpdemo"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpload"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpupstream"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpconfig"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fpcommand"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fpnode"
 )
 
 func main() {
 	pro := &fpcommand.Program{
-		Stdout: os.Stdout,
-		Stderr: os.Stderr,
+		RunVM:       fpnode.RunVM,
+		CheckSchema: checkSchema,
+		Demo:        &fpdemo.Command{},
+		Load:        &fpload.Command{},
+		Standin:     &fpupstream.Command{},
+		Stdout:      os.Stdout,
+		Stderr:      os.Stderr,
 	}
 	os.Exit(pro.Main(context.Background(), os.Args[1:]))
 }
+
+// checkSchema checks the schema of a configuration and its services against it.
+func checkSchema(cfg *fpoperator.Configuration) error {
+	names := make([]string, len(cfg.GetServices()))
+	for num, ser := range cfg.GetServices() {
+		names[num] = ser.GetName()
+	}
+	return fpconfig.AsError(fpnode.CheckSchema(cfg.GetSchema(), names))
+}
--- a/internal/bench/fpload/command.go
+++ b/internal/bench/fpload/command.go
@@ -39,13 +39,13 @@
 }
 
 // Run sends the load, prints the summary and writes the files.
-func (com *Command) Run() error {
+func (com *Command) Run(ctx context.Context, out io.Writer) error {
 	if com.Seed == 0 {
 		com.Seed = rand.Uint64()
 	}
 	fmt.Fprintf(os.Stderr, "seed %d\n", com.Seed)
 	snd := newSender(com)
-	res, err := Run(context.Background(), Config{
+	res, err := Run(ctx, Config{
 		Name:     com.Path,
 		Seed:     com.Seed,
 		Duration: com.Duration,
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	if err := res.WriteJSON(os.Stdout); err != nil {
+	if err := res.WriteJSON(out); err != nil {
 		return err
 	}
 	if com.Out == "" {
--- a/internal/bench/fpload/load_test.go
+++ b/internal/bench/fpload/load_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/csv"
 	"encoding/json"
+	"io"
 	"math"
 	"os"
 	"path/filepath"
@@ -172,7 +173,7 @@
 	if _, err := parser.Parse(append(args, "http://"+sta.Address())); err != nil {
 		t.Fatal(err)
 	}
-	if err := com.Run(); err != nil {
+	if err := com.Run(t.Context(), io.Discard); err != nil {
 		t.Fatal(err)
 	}
 	var sum fpload.Summary
--- a/internal/bench/fpstandin/standin.go
+++ b/internal/bench/fpstandin/standin.go
@@ -31,6 +31,8 @@
 	RestartAfter time.Duration
 	// CheckFence refuses requests outside the grant of the upstream. Unset: no check.
 	CheckFence func(*http.Request) error
+	// Wrap adds to the handler of all requests, for example the check of fences. Unset: nothing is added.
+	Wrap func(http.Handler) http.Handler
 }
 
 // Standin is an upstream on loopback. It answers any path of the form /package.Service/Method, the health and load
@@ -95,7 +97,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
-		Handler:   sta.gate(sta.mux),
+		Handler:   sta.gate(sta.wrapped()),
 		Protocols: protocols,
 	}
 	sta.server = server
@@ -136,6 +138,14 @@
 	<-done
 }
 
+// wrapped returns the handler of all requests.
+func (sta *Standin) wrapped() http.Handler {
+	if sta.cfg.Wrap == nil {
+		return sta.mux
+	}
+	return sta.cfg.Wrap(sta.mux)
+}
+
 // detach returns the server that runs and marks the stand-in as stopped.
 func (sta *Standin) detach() (*http.Server, <-chan error) {
 	sta.mut.Lock()
--- /dev/null
+++ b/internal/bench/fpupstream/command.go
@@ -0,0 +1,77 @@
+package fpupstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpfence"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpstandin"
+)
+
+// crashCode is the exit code of a stand-in that crashed on a request.
+const crashCode = 3
+
+// Command is the command line of a stand-in upstream, for kong.
+type Command struct {
+	Name        string        `required:"" help:"Name of the upstream."`
+	Service     string        `required:"" help:"Full name of the service in the schema."`
+	DataCentre  string        `required:"" help:"Data centre of the upstream."`
+	Router      []string      `required:"" help:"Base URLs of entry VMs, for example http://127.0.0.1:7001."`
+	Address     string        `default:"127.0.0.1:0" help:"Loopback address and port."`
+	Keyed       bool          `help:"The service is keyed."`
+	Concurrency int           `default:"4" help:"Number of requests that run at once."`
+	Queue       int           `default:"16" help:"Number of requests that wait; more are refused."`
+	ServiceTime time.Duration `default:"1ms" help:"Time of a request."`
+	BundleBytes int64         `default:"1048576" help:"Length of the answer to a bundle."`
+	Connections int           `default:"110" help:"Number of connections that are accepted."`
+	IgnoreFence bool          `help:"Run every request, whatever was granted."`
+	RunLog      string        `help:"File to which every run is appended."`
+	AnnounceAs  string        `help:"Address to announce instead of the own one, for example that of a proxy."`
+	QuitOnCrash bool          `default:"true" negatable:"" help:"End the process on a request that crashes the upstream."`
+}
+
+// Run serves until ctx ends.
+func (com *Command) Run(ctx context.Context, out io.Writer) error {
+	ups := New(Config{
+		Fence: fpfence.Config{
+			Name:           com.Name,
+			Service:        com.Service,
+			Keyed:          com.Keyed,
+			DataCentre:     com.DataCentre,
+			Concurrency:    uint32(com.Concurrency),
+			MaxConnections: uint32(com.Connections),
+			Routers:        com.Router,
+		},
+		Standin: fpstandin.Config{
+			Address: com.Address,
+			Worker: fpstandin.WorkerConfig{
+				Concurrency: com.Concurrency,
+				Queue:       com.Queue,
+				Service:     com.ServiceTime,
+			},
+			Connections: com.Connections,
+			BundleBytes: com.BundleBytes,
+		},
+		IgnoresFence: com.IgnoreFence,
+		RunLog:       com.RunLog,
+		AnnounceAs:   com.AnnounceAs,
+		Crash:        com.crash(),
+	})
+	if err := ups.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "stand-in %s of %s serves at %s\n", com.Name, com.Service, ups.Address())
+	<-ctx.Done()
+	ups.Stop()
+	return nil
+}
+
+func (com *Command) crash() func() {
+	if !com.QuitOnCrash {
+		return nil
+	}
+	return func() { os.Exit(crashCode) }
+}
--- a/internal/node/fpcommand/check.go
+++ b/internal/node/fpcommand/check.go
@@ -12,7 +12,7 @@
 )
 
 type checkCommand struct {
-	Settings []string `arg:"" help:"Paths of settings files."`
+	Settings []string `required:"" sep:"none" help:"Path of a settings file; may be given several times."`
 }
 
 // Run checks every file, prints what each describes, and returns the faults of all files together. Files that are checked
--- a/internal/node/fpcommand/program.go
+++ b/internal/node/fpcommand/program.go
@@ -38,11 +38,12 @@
 	RunVM func(ctx context.Context, set *fpsettings.Settings, log *zap.Logger) error
 	// CheckSchema checks the schema of a configuration and its services against it; nil skips this check.
 	CheckSchema func(cfg *fpoperator.Configuration) error
-	// Demo and Load are pointers to structs with kong tags.
-	Demo   Command
-	Load   Command
-	Stdout io.Writer
-	Stderr io.Writer
+	// Demo, Load and Standin are pointers to structs with kong tags.
+	Demo    Command
+	Load    Command
+	Standin Command
+	Stdout  io.Writer
+	Stderr  io.Writer
 }
 
 type commandLine struct {
@@ -62,6 +63,7 @@
 		kong.Exit(func(code int) { exit = code }),
 		kong.DynamicCommand("demo", "Run a small deployment with stand-in upstreams in one process.", "", orMissing(pro.Demo, "demo")),
 		kong.DynamicCommand("load", "Send load to a deployment and report latencies.", "", orMissing(pro.Load, "load")),
+		kong.DynamicCommand("standin", "Run a stand-in upstream on loopback.", "", orMissing(pro.Standin, "standin")),
 		kong.Bind(pro),
 	)
 	if err != nil {
@@ -120,7 +122,7 @@
 }
 
 type runCommand struct {
-	Settings string `arg:"" help:"Path of the settings file."`
+	Settings string `required:"" help:"Path of the settings file."`
 }
 
 // Run starts the VM that the settings file describes.
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -77,13 +77,19 @@
 		ser.cfg.Pools.Pool(att.target.Upstream),
 		"http://"+att.target.Upstream.GetAddress(),
 	)
-	_, err := cli.Cancel(ctx, connect.NewRequest(&fpcontract.CancelRequest{
+	res, err := cli.Cancel(ctx, connect.NewRequest(&fpcontract.CancelRequest{
 		RequestId: att.id,
 	}))
 	if err != nil {
 		ser.cfg.Count("cancelFailed")
 		return false
 	}
+	// An upstream that checks fences refuses a cancelled request that comes late. Any other upstream may still run it,
+	// unless it knows the request.
+	if !att.target.Upstream.GetChecksFence() && !res.Msg.GetKnown() {
+		ser.cfg.Count("cancelUnconfirmed")
+		return false
+	}
 	ser.cfg.Count("cancelled")
 	return true
 }
