--- a/internal/config/fpsettings/check.go
+++ b/internal/config/fpsettings/check.go
@@ -101,6 +101,7 @@
 		claimAddress(doc, addresses, path+".peerAddress", vm.peerAddress)
 		claimAddress(doc, addresses, path+".operatorAddress", vm.operatorAddress)
 	}
+	claimAddress(doc, addresses, "listeners.callers.address", set.callers.address)
 }
 
 func claimAddress(doc *document, addresses map[netip.AddrPort]string, path string, adr netip.AddrPort) {
--- a/internal/config/fpsettings/listener.go
+++ b/internal/config/fpsettings/listener.go
@@ -45,10 +45,10 @@
 		maxBodyBytes:   1 << 30,
 		maxConnections: 20_000,
 	}
-	// peerLimits admits a batch of log entries or a snapshot chunk, and a few connections from each of the 4,000 nodes.
+	// peerLimits admits a batch of log entries or a snapshot chunk, and a few connections from every other VM.
 	peerLimits = listenerLimits{
 		maxBodyBytes:   16 << 20,
-		maxConnections: 10_000,
+		maxConnections: 1_000,
 	}
 	// operatorLimits admits one configuration with its schema.
 	operatorLimits = listenerLimits{
--- a/internal/config/fpsettings/settings_test.go
+++ b/internal/config/fpsettings/settings_test.go
@@ -90,6 +90,7 @@
   "dataF`, `"roles": [], "dataF`, "roles")
 	refuses("entry without callers", `"callers": {"address": "127.0.0.1:7001"},`, ``, "listeners.callers")
 	refuses("host name", `"127.0.0.1:7001"`, `"localhost:7001"`, "listeners.callers.address")
+	refuses("address of another listener", `"127.0.0.1:7001"`, `"127.0.0.1:7101"`, "listeners.callers.address")
 	refuses("port 0", `"127.0.0.1:7001"`, `"127.0.0.1:0"`, "listeners.callers.address")
 	refuses("limit as text", `7001"}`, `7001", "maxConnections": "9"}`, "listeners.callers.maxConnections")
 	refuses("limit with a fraction", `7001"}`, `7001", "maxBodyBytes": 65536.5}`, "listeners.callers.maxBodyBytes")
@@ -153,6 +154,32 @@
 	}
 }
 
+// TestSettingsPageNamesEveryField guards docs/settings.md against fields that were added without a description.
+func TestSettingsPageNamesEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = fpsettings.Parse([]byte(`{"x": 1, "listeners": {"x": 1, "callers": {"x": 1}}, "vms": [{"x": 1}], "groups": [{"x": 1}],
+		"tls": {"x": 1}, "timings": {"x": 1}}`), "/")
+	lists := 0
+	for _, fau := range fpsettings.FaultsOf(err) {
+		_, fields, found := strings.Cut(fau.Accepted(), "the fields are ")
+		if !found {
+			continue
+		}
+		lists++
+		for _, field := range strings.Split(fields, ", ") {
+			if !strings.Contains(string(page), "`"+field+"`") {
+				t.Errorf("docs/settings.md does not name %s", field)
+			}
+		}
+	}
+	if lists != 7 {
+		t.Errorf("%d kinds of objects have fields, want 7", lists)
+	}
+}
+
 // TestConfigurationFile guards the join of a configuration with its schema file, and the check against the groups.
 func TestConfigurationFile(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/node/fpcommand/check.go
+++ b/internal/node/fpcommand/check.go
@@ -9,10 +9,12 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
 )
 
 type checkCommand struct {
 	Settings []string `arg:"" help:"Paths of settings files."`
+	Files    bool     `help:"Also read the TLS files, on the VM that holds them."`
 }
 
 // Run checks every file, prints what each describes, and returns the faults of all files together. Files that are checked
@@ -22,6 +24,9 @@
 	var first *fpsettings.Settings
 	for _, path := range com.Settings {
 		set, err := pro.checkFile(path)
+		if err == nil && com.Files {
+			err = checkTLSFiles(path, set)
+		}
 		if err == nil && first != nil {
 			err = fpsettings.AsError(fperror.InvalidSettings, path, set.CheckAgainst(first))
 		}
@@ -52,6 +57,15 @@
 	return set, err
 }
 
+func checkTLSFiles(path string, set *fpsettings.Settings) error {
+	if _, err := fptls.FromSettings(set, nil); err != nil {
+		return fpsettings.AsError(fperror.InvalidSettings, path, []fpsettings.Fault{
+			fpsettings.NewFault("tls", err.Error(), "readable PEM files with a certificate, its key and the authority"),
+		})
+	}
+	return nil
+}
+
 func describe(out io.Writer, set *fpsettings.Settings) {
 	fmt.Fprintf(out, "  VM\t%s, data centre %s, region %s\n", set.VM(), set.DataCentre(), set.Region())
 	var roles []string
--- a/internal/node/fpcommand/program_test.go
+++ b/internal/node/fpcommand/program_test.go
@@ -27,7 +27,12 @@
 	var stdout, stderr bytes.Buffer
 	pro.Stdout, pro.Stderr = &stdout, &stderr
 	code = pro.Main(t.Context(), args)
-	return code, fmt.Sprintf("exit code %d\n-- stdout\n%s-- stderr\n%s", code, &stdout, &stderr)
+	folder, err := os.Getwd()
+	if err != nil {
+		t.Fatal(err)
+	}
+	output = fmt.Sprintf("exit code %d\n-- stdout\n%s-- stderr\n%s", code, &stdout, &stderr)
+	return code, strings.ReplaceAll(output, folder+"/", "")
 }
 
 // TestCheckOutput guards the text on which operators rely, and the exit codes.
@@ -55,6 +60,7 @@
 	prints("faults", "testdata/faults.json")
 	prints("initial", "testdata/initial.json")
 	prints("disagree", local+"one.json", "testdata/disagree.json", local+"one.json")
+	prints("files", "--files", "testdata/files.json")
 	prints("syntax", "testdata/syntax.json")
 	prints("absent", "testdata/absent.json")
 	prints("usage")
--- a/internal/node/fpctl/change.go
+++ b/internal/node/fpctl/change.go
@@ -164,6 +164,8 @@
 type voterTarget struct {
 	Group string `arg:"" help:"Name of the group."`
 	VM    string `arg:"" name:"vm" help:"Name of the VM."`
+	// Wait is long because a repair copies the whole log or a snapshot before it reports success.
+	Wait time.Duration `default:"1m" help:"Time for the new voter to catch up."`
 }
 
 type (
@@ -193,7 +195,7 @@
 		Vm:     tar.VM,
 		Change: change,
 	}
-	res, err := send(ctx, ses.caller, changing, 0,
+	res, err := send(ctx, ses.caller, changing, tar.Wait,
 		func(ctx context.Context, cli client) (*connect.Response[fpoperator.ChangeVoterResponse], error) {
 			return cli.ChangeVoter(ctx, connect.NewRequest(msg))
 		})
--- a/internal/node/fpctl/program.go
+++ b/internal/node/fpctl/program.go
@@ -26,7 +26,7 @@
 type commandLine struct {
 	Address     []string      `required:"" placeholder:"IP:PORT" help:"Operator addresses of VMs, tried in turn."`
 	JSON        bool          `name:"json" help:"Print answers and errors as JSON, one document to a line."`
-	Timeout     time.Duration `default:"10s" help:"Time that one address has to answer. The wait of apply comes on top."`
+	Timeout     time.Duration `default:"10s" help:"Time that one address has to answer. The wait of apply and voter comes on top."`
 	PlainText   bool          `help:"Use no TLS; loopback addresses only."`
 	Certificate string        `type:"path" placeholder:"FILE" help:"PEM file with the operator's certificate."`
 	Key         string        `type:"path" placeholder:"FILE" help:"PEM file with the operator's private key."`
