fptls: test servers of another authority and bound the log of refused peers

Cause: on a scratch copy, a client that skipped the verification of the server's chain passed all tests; and each refused peer wrote a log line, so a misconfigured or hostile peer could flood the log. Ruled out: logging refused peers at the level debug, because a wrong identity is the first thing that an operator looks for. Change: a test with a server of another authority; at most one line in 10 s with the number of refused peers. Result: the new test fails without the verification and passes with it; go test -race passes.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -271,7 +271,7 @@
     }{{comma $at (len $.Services)}}
 {{- end}}
   ],
-  "linkRate": "{{.LinkRate}}"
+  "linkRate": {{.LinkRate}}
 }
 `))
 
--- a/internal/node/fptls/fptls_test.go
+++ b/internal/node/fptls/fptls_test.go
@@ -206,20 +206,24 @@
 	}
 }
 
-// TestServerNeedsAListedIdentity guards clients against a server that holds a valid certificate of another role.
+// TestServerNeedsAListedIdentity guards clients against a server that holds a valid certificate of another role, and
+// against one that claims the right identity with a certificate of another authority.
 func TestServerNeedsAListedIdentity(t *testing.T) {
 	aut := newAuthority(t)
 	vm := open(t, aut.issue(t, t.TempDir(), "bergen-a-1.test"))
-	for _, identity := range []string{"spiffe://test/operator", "stranger.test"} {
+	refuses := func(name string, cfg fptls.Config) {
 		address := serve(t, fptls.ServerConfig{
-			Store: open(t, aut.issue(t, t.TempDir(), identity)),
+			Store: open(t, cfg),
 			Role:  fptls.RoleVM,
 		})
 		_, err := get(client(vm), "https://"+address)
 		if !fperror.Is(err, fperror.PermissionDenied) {
-			t.Errorf("server with identity %s: %v", identity, err)
+			t.Errorf("%s: %v", name, err)
 		}
 	}
+	refuses("operator", aut.issue(t, t.TempDir(), "spiffe://test/operator"))
+	refuses("stranger", aut.issue(t, t.TempDir(), "stranger.test"))
+	refuses("other authority", newAuthority(t).issue(t, t.TempDir(), "bergen-a-1.test"))
 }
 
 // TestReload guards against a process that needs a restart for new certificates, and against one that stops serving while
--- a/internal/node/fptls/store.go
+++ b/internal/node/fptls/store.go
@@ -29,6 +29,9 @@
 // reloadInterval bounds how often the files are examined. It is also the delay until a new certificate is in use.
 const reloadInterval = time.Second
 
+// refusalLogInterval bounds the log lines that peers without a listed identity can cause. The counter counts them all.
+const refusalLogInterval = 10 * time.Second
+
 // Config names the files of this process and the identities of its peers. An identity is a DNS name or a URI of a
 // certificate.
 type Config struct {
@@ -49,6 +52,8 @@
 	current *material
 	checked time.Time
 	failed  bool
+	// refusalLogged is when a refused peer was last logged.
+	refusalLogged time.Time
 
 	refused       atomic.Uint64
 	reloads       atomic.Uint64
@@ -183,7 +188,7 @@
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    mat.authority,
 		NextProtos:   []string{"h2"},
-		// A resumed session would skip the check against a reloaded authority.
+		// Every connection proves its identity by a full handshake, against the current authority.
 		SessionTicketsDisabled: true,
 		VerifyConnection: func(sta tls.ConnectionState) error {
 			return sto.checkRole(sta, rol)
@@ -236,12 +241,23 @@
 	if _, ok := sto.identity(sta, rol); ok {
 		return nil
 	}
-	sto.refused.Add(1)
 	names := identities(sta)
-	sto.cfg.Log.Warn("peer refused", zap.String("role", string(rol)), zap.Strings("identities", names))
+	sto.noteRefusal(rol, names)
 	return fperror.New(fperror.PermissionDenied, "none of the identities %q may act as %s", names, rol)
 }
 
+func (sto *Store) noteRefusal(rol Role, names []string) {
+	refused := sto.refused.Add(1)
+	sto.mut.Lock()
+	defer sto.mut.Unlock()
+	if !sto.refusalLogged.IsZero() && time.Since(sto.refusalLogged) < refusalLogInterval {
+		return
+	}
+	sto.refusalLogged = time.Now()
+	sto.cfg.Log.Warn("peer refused",
+		zap.String("role", string(rol)), zap.Strings("identities", names), zap.Uint64("refused", refused))
+}
+
 // identity returns the first listed identity of a peer.
 func (sto *Store) identity(sta tls.ConnectionState, rol Role) (string, bool) {
 	listed := sto.cfg.VMs
