fpctl: try the next address when a connection breaks

Cause: connect returns the code canceled for a connection that breaks while a request is written, and the client stopped there although the operator had not canceled anything. An internal error after a change was reported as exit code 1, though the change may have run. Ruled out: a test for the operator's own cancellation by this code, because the context already tells it. Change: canceled is among the codes after which the next address is tried; internal and dataLoss after a change end with exit code 7. Conclusion: questions and commands with a request id pass over an address whose connections break.

--- a/internal/node/fpctl/call.go
+++ b/internal/node/fpctl/call.go
@@ -155,10 +155,11 @@
 
 func (err *unsentError) Unwrap() error { return err.cause }
 
-// triesNext reports whether another VM may answer better and may be asked.
+// triesNext reports whether another VM may answer better and may be asked. Canceled is among the codes because connect
+// returns it for a connection that breaks while a request is written.
 func triesNext(err error, eff effect) bool {
 	switch connect.CodeOf(err) {
-	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted:
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted, connect.CodeCanceled:
 		return eff != changing || isNotRun(err)
 	default:
 		return false
@@ -232,7 +233,8 @@
 		return ExitConflict
 	case connect.CodePermissionDenied, connect.CodeUnauthenticated:
 		return ExitDenied
-	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted, connect.CodeCanceled:
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeAborted, connect.CodeCanceled,
+		connect.CodeInternal, connect.CodeDataLoss:
 		if call.effect == readOnly || isNotRun(call.cause) {
 			return ExitUnavailable
 		}
--- a/internal/node/fpctl/program_test.go
+++ b/internal/node/fpctl/program_test.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -293,6 +294,35 @@
 	ends("refused for good", invalid, fpctl.ExitInvalid, 0, "apply", configuration, "--expected", "none")
 }
 
+// TestBrokenConnections guards against a client that stops at an address whose connections break.
+func TestBrokenConnections(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			_ = con.Close()
+		}
+	}()
+	defer func() {
+		_ = lis.Close()
+		<-done
+	}()
+	for _, args := range [][]string{{"status"}, {"drain", "vm", "two"}} {
+		fak := &fake{}
+		if code, output := run(t, []string{lis.Addr().String(), fak.start(t)}, args...); code != fpctl.ExitOK {
+			t.Errorf("%v: %s", args, output)
+		}
+	}
+}
+
 // TestUnknownOutcomeIsKept guards against a report of "unavailable" when an earlier address may have accepted the change.
 func TestUnknownOutcomeIsKept(t *testing.T) {
 	fak := &fake{
