--- /dev/null
+++ b/internal/bench/fpsystem/process_test.go
@@ -0,0 +1,161 @@
+package fpsystem_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binary is the path of the daemon, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "fpsystem-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "foxtailpulley")
+	out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/foxtailpulley").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one started process of the daemon.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	once sync.Once
+}
+
+// start runs the daemon with the given arguments until the test ends.
+func start(t *testing.T, folder, name string, args ...string) *process {
+	t.Helper()
+	log := filepath.Join(folder, name+".log")
+	fil, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout = fil
+	cmd.Stderr = fil
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	pro := &process{
+		name: name,
+		cmd:  cmd,
+		log:  log,
+		done: make(chan struct{}),
+	}
+	go func() {
+		_ = cmd.Wait()
+		_ = fil.Close()
+		close(pro.done)
+	}()
+	t.Cleanup(func() {
+		pro.kill()
+		if t.Failed() {
+			pro.printLog(t)
+		}
+	})
+	return pro
+}
+
+func (pro *process) printLog(t *testing.T) {
+	const tail = 40
+	data, err := os.ReadFile(pro.log)
+	if err != nil {
+		return
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	t.Logf("log of %s:\n%s", pro.name, strings.Join(lines[max(0, len(lines)-tail):], "\n"))
+}
+
+func (pro *process) pid() int { return pro.cmd.Process.Pid }
+
+// kill ends the process at once and waits for its end.
+func (pro *process) kill() {
+	pro.once.Do(func() { _ = pro.cmd.Process.Kill() })
+	<-pro.done
+}
+
+// freeze stops the process without ending it, and thaw lets it go on.
+func (pro *process) freeze() { _ = pro.cmd.Process.Signal(syscall.SIGSTOP) }
+func (pro *process) thaw()   { _ = pro.cmd.Process.Signal(syscall.SIGCONT) }
+
+// terminate asks the process to stop.
+func (pro *process) terminate() { _ = pro.cmd.Process.Signal(syscall.SIGTERM) }
+
+// ended reports whether the process ends within the given time.
+func (pro *process) ended(limit time.Duration) bool {
+	select {
+	case <-pro.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// socketOwner returns which of the processes holds the local end of a connection that the proxy accepted. All processes
+// share the loopback address, so the port is looked up in the tables of the kernel.
+func socketOwner(con net.Conn, pids map[int]string) string {
+	port := con.RemoteAddr().(*net.TCPAddr).Port
+	inode := socketInode(port)
+	if inode == "" {
+		return ""
+	}
+	want := "socket:[" + inode + "]"
+	for pid, name := range pids {
+		folder := fmt.Sprintf("/proc/%d/fd", pid)
+		entries, err := os.ReadDir(folder)
+		if err != nil {
+			continue
+		}
+		for _, ent := range entries {
+			if got, err := os.Readlink(filepath.Join(folder, ent.Name())); err == nil && got == want {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+// socketInode returns the inode of the socket with a local port.
+func socketInode(port int) string {
+	fil, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = fil.Close() }()
+	want := fmt.Sprintf(":%04X", port)
+	for sca := bufio.NewScanner(fil); sca.Scan(); {
+		fields := strings.Fields(sca.Text())
+		if len(fields) < 10 || !strings.HasSuffix(fields[1], want) {
+			continue
+		}
+		if _, err := strconv.Atoi(fields[9]); err == nil && fields[9] != "0" {
+			return fields[9]
+		}
+	}
+	return ""
+}
--- a/internal/bench/fpsystem/proxy_test.go
+++ b/internal/bench/fpsystem/proxy_test.go
@@ -16,7 +16,7 @@
 	backward
 )
 
-// faults is what a proxy does to the bytes of its connections.
+// faults is what the network does to the bytes between two processes.
 type faults struct {
 	// stalled holds back all bytes of a direction, as lost packets do until they are sent again.
 	stalled [2]bool
@@ -25,87 +25,142 @@
 	rate int
 }
 
-// proxy is a TCP proxy that injects faults between two processes.
+// both is a cut in both directions.
+var both = faults{
+	stalled: [2]bool{true, true},
+}
+
+// pair is the two ends of a connection: the process that opened it and the one it reaches.
+type pair struct{ from, to string }
+
+// network holds the faults between all processes. Processes reach each other through one proxy per listener.
+type network struct {
+	identify func(con net.Conn) string
+
+	mutex   sync.Mutex
+	faults  map[pair]faults
+	changed chan struct{}
+	links   map[*link]bool
+	nextAt  map[link2]time.Time
+}
+
+// link2 is one direction between two processes, which share a rate.
+type link2 struct {
+	pair pair
+	dir  direction
+}
+
+func newNetwork(identify func(con net.Conn) string) *network {
+	return &network{
+		identify: identify,
+		faults:   map[pair]faults{},
+		changed:  make(chan struct{}),
+		links:    map[*link]bool{},
+		nextAt:   map[link2]time.Time{},
+	}
+}
+
+// set replaces the faults of connections opened by from to to.
+func (nwk *network) set(from, to string, flt faults) {
+	nwk.mutex.Lock()
+	defer nwk.mutex.Unlock()
+	nwk.faults[pair{from: from, to: to}] = flt
+	close(nwk.changed)
+	nwk.changed = make(chan struct{})
+}
+
+// cut separates two sets of processes in both directions, without an error on any connection.
+func (nwk *network) cut(one, two []string) {
+	for _, fst := range one {
+		for _, snd := range two {
+			nwk.set(fst, snd, both)
+			nwk.set(snd, fst, both)
+		}
+	}
+}
+
+// cutOneWay loses all bytes from one set of processes to another, on connections opened by either.
+func (nwk *network) cutOneWay(from, to []string) {
+	for _, fst := range from {
+		for _, snd := range to {
+			nwk.set(fst, snd, faults{
+				stalled: [2]bool{true, false},
+			})
+			nwk.set(snd, fst, faults{
+				stalled: [2]bool{false, true},
+			})
+		}
+	}
+}
+
+// heal removes all faults.
+func (nwk *network) heal() {
+	nwk.mutex.Lock()
+	defer nwk.mutex.Unlock()
+	nwk.faults = map[pair]faults{}
+	close(nwk.changed)
+	nwk.changed = make(chan struct{})
+}
+
+// silence makes all open connections silent for good, while new connections work, and returns their number.
+func (nwk *network) silence() int {
+	nwk.mutex.Lock()
+	defer nwk.mutex.Unlock()
+	for lnk := range nwk.links {
+		lnk.once.Do(func() { close(lnk.silent) })
+	}
+	return len(nwk.links)
+}
+
+// proxy accepts connections for one listener of a process.
 type proxy struct {
+	network  *network
+	name     string
 	target   string
 	listener net.Listener
-
-	mu      sync.Mutex
-	faults  faults
-	changed chan struct{}
-	conns   map[*link]bool
-	nextAt  [2]time.Time
+	wgr      sync.WaitGroup
 }
 
 // link is one proxied connection.
 type link struct {
+	pair   pair
 	ends   [2]net.Conn
 	silent chan struct{}
 	once   sync.Once
 }
 
-func newProxy(t *testing.T, target string) *proxy {
+func newProxy(t *testing.T, nwk *network, name, target string) *proxy {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	pro := &proxy{
+		network:  nwk,
+		name:     name,
 		target:   target,
 		listener: lis,
-		changed:  make(chan struct{}),
-		conns:    map[*link]bool{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		pro.accept(ctx)
-	}()
+	pro.wgr.Go(func() { pro.accept(ctx) })
 	t.Cleanup(func() {
 		cancel()
 		_ = lis.Close()
-		pro.closeAll()
-		<-done
+		nwk.closeLinks(name)
+		pro.wgr.Wait()
 	})
 	return pro
 }
 
 func (pro *proxy) address() string { return pro.listener.Addr().String() }
 
-// set replaces the faults of the proxy.
-func (pro *proxy) set(flt faults) {
-	pro.mu.Lock()
-	defer pro.mu.Unlock()
-	pro.faults = flt
-	close(pro.changed)
-	pro.changed = make(chan struct{})
-}
-
-func (pro *proxy) cut() {
-	pro.set(faults{
-		stalled: [2]bool{true, true},
-	})
-}
-
-func (pro *proxy) heal() {
-	pro.set(faults{})
-}
-
-// silence makes the open connections silent for good, while new connections work.
-func (pro *proxy) silence() {
-	pro.mu.Lock()
-	defer pro.mu.Unlock()
-	for lnk := range pro.conns {
-		lnk.once.Do(func() { close(lnk.silent) })
-	}
-}
-
-func (pro *proxy) closeAll() {
-	pro.mu.Lock()
-	defer pro.mu.Unlock()
-	for lnk := range pro.conns {
-		lnk.close()
+func (nwk *network) closeLinks(name string) {
+	nwk.mutex.Lock()
+	defer nwk.mutex.Unlock()
+	for lnk := range nwk.links {
+		if lnk.pair.to == name {
+			lnk.close()
+		}
 	}
 }
 
@@ -115,37 +170,39 @@
 		if err != nil {
 			return
 		}
-		go pro.serve(ctx, con)
+		pro.wgr.Go(func() { pro.serve(ctx, con) })
 	}
 }
 
 func (pro *proxy) serve(ctx context.Context, con net.Conn) {
 	lnk := &link{
+		pair: pair{
+			from: pro.network.identify(con),
+			to:   pro.name,
+		},
 		silent: make(chan struct{}),
 	}
 	lnk.ends[forward] = con
-	if !pro.waitFlowing(ctx, lnk, forward) {
-		_ = con.Close()
+	defer lnk.close()
+	if !pro.network.waitFlowing(ctx, lnk, forward) {
 		return
 	}
 	out, err := net.Dial("tcp", pro.target)
 	if err != nil {
-		_ = con.Close()
 		return
 	}
 	lnk.ends[backward] = out
-	pro.mu.Lock()
-	pro.conns[lnk] = true
-	pro.mu.Unlock()
+	pro.network.mutex.Lock()
+	pro.network.links[lnk] = true
+	pro.network.mutex.Unlock()
 	var wgr sync.WaitGroup
 	for _, dir := range []direction{forward, backward} {
 		wgr.Go(func() { pro.pump(ctx, lnk, dir) })
 	}
 	wgr.Wait()
-	pro.mu.Lock()
-	delete(pro.conns, lnk)
-	pro.mu.Unlock()
-	lnk.close()
+	pro.network.mutex.Lock()
+	delete(pro.network.links, lnk)
+	pro.network.mutex.Unlock()
 }
 
 func (lnk *link) close() {
@@ -181,7 +238,7 @@
 		if num > 0 {
 			item := chunk{
 				data: append([]byte(nil), buf[:num]...),
-				due:  pro.dueTime(dir, num),
+				due:  pro.network.dueTime(lnk, dir, num),
 			}
 			select {
 			case queue <- item:
@@ -198,18 +255,23 @@
 }
 
 // dueTime applies the delay and the rate to num bytes that arrived now.
-func (pro *proxy) dueTime(dir direction, num int) time.Time {
-	pro.mu.Lock()
-	defer pro.mu.Unlock()
+func (nwk *network) dueTime(lnk *link, dir direction, num int) time.Time {
+	nwk.mutex.Lock()
+	defer nwk.mutex.Unlock()
+	flt := nwk.faults[lnk.pair]
 	due := time.Now()
-	if pro.faults.rate > 0 {
-		if pro.nextAt[dir].Before(due) {
-			pro.nextAt[dir] = due
+	if flt.rate > 0 {
+		key := link2{
+			pair: lnk.pair,
+			dir:  dir,
+		}
+		if nwk.nextAt[key].Before(due) {
+			nwk.nextAt[key] = due
 		}
-		pro.nextAt[dir] = pro.nextAt[dir].Add(time.Duration(num) * time.Second / time.Duration(pro.faults.rate))
-		due = pro.nextAt[dir]
+		nwk.nextAt[key] = nwk.nextAt[key].Add(time.Duration(num) * time.Second / time.Duration(flt.rate))
+		due = nwk.nextAt[key]
 	}
-	return due.Add(pro.faults.delay)
+	return due.Add(flt.delay)
 }
 
 func (pro *proxy) deliver(ctx context.Context, lnk *link, dir direction, chk chunk) bool {
@@ -221,7 +283,7 @@
 		return false
 	case <-time.After(time.Until(chk.due)):
 	}
-	if !pro.waitFlowing(ctx, lnk, dir) {
+	if !pro.network.waitFlowing(ctx, lnk, dir) {
 		return false
 	}
 	_, err := lnk.ends[1-dir].Write(chk.data)
@@ -229,12 +291,12 @@
 }
 
 // waitFlowing waits until the direction is not stalled. It never returns true for a silent connection.
-func (pro *proxy) waitFlowing(ctx context.Context, lnk *link, dir direction) bool {
+func (nwk *network) waitFlowing(ctx context.Context, lnk *link, dir direction) bool {
 	for {
-		pro.mu.Lock()
-		stalled := pro.faults.stalled[dir]
-		changed := pro.changed
-		pro.mu.Unlock()
+		nwk.mutex.Lock()
+		stalled := nwk.faults[lnk.pair].stalled[dir]
+		changed := nwk.changed
+		nwk.mutex.Unlock()
 		if !stalled {
 			return true
 		}
--- a/internal/node/fpcommand/check.go
+++ b/internal/node/fpcommand/check.go
@@ -4,15 +4,31 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
 )
 
 type checkCommand struct {
-	Settings []string `required:"" sep:"none" help:"Path of a settings file; may be given several times."`
+	Settings []string `sep:"none" help:"Path of a settings file; may be given several times."`
+	More     []string `arg:"" optional:"" help:"Paths of more settings files."`
+	Files    bool     `help:"Also read the TLS files, on the VM that holds them."`
+}
+
+// Validate refuses a command line without a file.
+func (com *checkCommand) Validate() error {
+	if len(com.paths()) == 0 {
+		return fperror.New(fperror.InvalidSettings, "missing flags: --settings=SETTINGS")
+	}
+	return nil
+}
+
+func (com *checkCommand) paths() []string {
+	return slices.Concat(com.Settings, com.More)
 }
 
 // Run checks every file, prints what each describes, and returns the faults of all files together. Files that are checked
@@ -20,8 +36,11 @@
 func (com *checkCommand) Run(pro *Program) error {
 	var failed []string
 	var first *fpsettings.Settings
-	for _, path := range com.Settings {
+	for _, path := range com.paths() {
 		set, err := pro.checkFile(path)
+		if err == nil && com.Files {
+			err = checkTLSFiles(path, set)
+		}
 		if err == nil && first != nil {
 			err = fpsettings.AsError(fperror.InvalidSettings, path, set.CheckAgainst(first))
 		}
@@ -52,6 +71,15 @@
 	return set, err
 }
 
+func checkTLSFiles(path string, set *fpsettings.Settings) error {
+	if _, err := fptls.FromSettings(set, nil); err != nil {
+		return fpsettings.AsError(fperror.InvalidSettings, path, []fpsettings.Fault{
+			fpsettings.NewFault("tls", err.Error(), "readable PEM files with a certificate, its key and the authority"),
+		})
+	}
+	return nil
+}
+
 func describe(out io.Writer, set *fpsettings.Settings) {
 	fmt.Fprintf(out, "  VM\t%s, data centre %s, region %s\n", set.VM(), set.DataCentre(), set.Region())
 	var roles []string
--- a/internal/node/fpcommand/program_test.go
+++ b/internal/node/fpcommand/program_test.go
@@ -27,7 +27,12 @@
 	var stdout, stderr bytes.Buffer
 	pro.Stdout, pro.Stderr = &stdout, &stderr
 	code = pro.Main(t.Context(), args)
-	return code, fmt.Sprintf("exit code %d\n-- stdout\n%s-- stderr\n%s", code, &stdout, &stderr)
+	folder, err := os.Getwd()
+	if err != nil {
+		t.Fatal(err)
+	}
+	output = fmt.Sprintf("exit code %d\n-- stdout\n%s-- stderr\n%s", code, &stdout, &stderr)
+	return code, strings.ReplaceAll(output, folder+"/", "")
 }
 
 // TestCheckOutput guards the text on which operators rely, and the exit codes.
@@ -51,10 +56,11 @@
 			}
 		})
 	}
-	prints("valid", local+"one.json", local+"two.json")
+	prints("valid", "--settings", local+"one.json", local+"two.json")
 	prints("faults", "testdata/faults.json")
 	prints("initial", "testdata/initial.json")
 	prints("disagree", local+"one.json", "testdata/disagree.json", local+"one.json")
+	prints("files", "--files", "testdata/files.json")
 	prints("syntax", "testdata/syntax.json")
 	prints("absent", "testdata/absent.json")
 	prints("usage")
@@ -99,9 +105,9 @@
 		}
 	}
 	const one = "../../../examples/local/one.json"
-	ends(fpcommand.ExitFailure, "foxtailpulley: disk of one\n", "run", one)
-	ends(fpcommand.ExitFailure, `"msg":"started","vm":"one"}`, "run", one)
-	ends(fpcommand.ExitInvalid, "faults: 3\n", "run", "testdata/faults.json")
+	ends(fpcommand.ExitFailure, "foxtailpulley: disk of one\n", "run", "--settings", one)
+	ends(fpcommand.ExitFailure, `"msg":"started","vm":"one"}`, "run", "--settings", one)
+	ends(fpcommand.ExitInvalid, "faults: 3\n", "run", "--settings", "testdata/faults.json")
 	ends(fpcommand.ExitOK, "rate 9\n", "load", "--rate", "9")
 	ends(fpcommand.ExitFailure, "the command demo is not part of this build", "demo")
 	ends(fpcommand.ExitOK, "foxtailpulley ", "version")
--- a/internal/node/fpctl/change.go
+++ b/internal/node/fpctl/change.go
@@ -164,6 +164,8 @@
 type voterTarget struct {
 	Group string `arg:"" help:"Name of the group."`
 	VM    string `arg:"" name:"vm" help:"Name of the VM."`
+	// Wait is long because a repair copies the whole log or a snapshot before it reports success.
+	Wait time.Duration `default:"1m" help:"Time for the new voter to catch up."`
 }
 
 type (
@@ -193,7 +195,7 @@
 		Vm:     tar.VM,
 		Change: change,
 	}
-	res, err := send(ctx, ses.caller, changing, 0,
+	res, err := send(ctx, ses.caller, changing, tar.Wait,
 		func(ctx context.Context, cli client) (*connect.Response[fpoperator.ChangeVoterResponse], error) {
 			return cli.ChangeVoter(ctx, connect.NewRequest(msg))
 		})
@@ -237,7 +239,7 @@
 	termNumber, termErr := strconv.ParseUint(term, 10, 64)
 	indexNumber, indexErr := strconv.ParseUint(index, 10, 64)
 	if termErr != nil || indexErr != nil {
-		return nil, fperror.New(fperror.InvalidSettings, "--expected: %q; accepted: TERM/INDEX such as 3/41, or none", text)
+		return nil, fperror.New(fperror.InvalidRequest, "--expected: %q; accepted: TERM/INDEX such as 3/41, or none", text)
 	}
 	return &fpoperator.Version{
 		Term:  termNumber,
--- a/internal/node/fpctl/program.go
+++ b/internal/node/fpctl/program.go
@@ -26,7 +26,7 @@
 type commandLine struct {
 	Address     []string      `required:"" placeholder:"IP:PORT" help:"Operator addresses of VMs, tried in turn."`
 	JSON        bool          `name:"json" help:"Print answers and errors as JSON, one document to a line."`
-	Timeout     time.Duration `default:"10s" help:"Time that one address has to answer. The wait of apply comes on top."`
+	Timeout     time.Duration `default:"10s" help:"Time that one address has to answer. The wait of apply and voter comes on top."`
 	PlainText   bool          `help:"Use no TLS; loopback addresses only."`
 	Certificate string        `type:"path" placeholder:"FILE" help:"PEM file with the operator's certificate."`
 	Key         string        `type:"path" placeholder:"FILE" help:"PEM file with the operator's private key."`
@@ -101,9 +101,10 @@
 		ReadIdle:    readIdle,
 		PingTimeout: pingTimeout,
 	}
-	named := lin.Certificate != "" || lin.Key != "" || lin.Authority != "" || len(lin.VMIdentity) > 0
-	if lin.PlainText == named {
-		return nil, fperror.New(fperror.InvalidSettings,
+	some := lin.Certificate != "" || lin.Key != "" || lin.Authority != "" || len(lin.VMIdentity) > 0
+	all := lin.Certificate != "" && lin.Key != "" && lin.Authority != "" && len(lin.VMIdentity) > 0
+	if lin.PlainText && some || !lin.PlainText && !all {
+		return nil, fperror.New(fperror.InvalidRequest,
 			"either --plain-text or all of --certificate, --key, --authority and --vm-identity are required")
 	}
 	if !lin.PlainText {
