--- a/internal/bench/fpsystem/system_test.go
+++ b/internal/bench/fpsystem/system_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -233,15 +234,34 @@
 	return path
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// Ports of listeners lie below the range from which the kernel draws the local ports of connections, and no port is used
+// twice, so that a killed process is never mistaken for another one.
+const (
+	firstPort = 16000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns a loopback address with a free port that no other test uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	nextPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := nextPort.Add(1)
+		if port > lastPort {
+			nextPort.Store(firstPort)
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		lis, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = lis.Close()
+			return address
+		}
 	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (sys *system) addMachine(plc place) {
