fpgroup: report a repair only on fresh evidence

Cause: TestFaults (loseDisk of vm-1): Repair returned nil right after the loss, because answers from before it still counted as those of a healthy voter. Ruled out: a shorter time for silence, which would only make the fault rarer. Change: an answer counts for a change only if it belongs to a broadcast sent after the request.

--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -21,6 +21,9 @@
 type change struct {
 	kind changeKind
 	vm   string
+	// round is the first broadcast after the request. Only answers to it, or to later ones, show that the VM has not lost
+	// its disk before the request.
+	round uint64
 	// promoted states that this change has made its VM a voter.
 	promoted bool
 	done     func(err error)
@@ -36,6 +39,7 @@
 		cha.done(fperror.New(fperror.VersionConflict, "the membership change of VM %s in group %s is not finished", cor.change.vm, cor.cfg.Name))
 		return
 	}
+	cha.round = cor.lead.round + 1
 	cor.change = cha
 	cor.advanceChange()
 }
@@ -90,10 +94,11 @@
 }
 
 // advanceLearner makes the learner a voter once it holds every committed entry. It must have answered a round that was
-// sent after its incarnation was learnt, because an older answer may come from a disk that was lost since.
+// sent after the request and after its incarnation was learnt, because an older answer may come from a disk that was
+// lost since.
 func (cor *core) advanceLearner() {
 	pee := cor.lead.peers[cor.change.vm]
-	fresh := pee != nil && pee.incarnation != 0 && pee.ackRound >= pee.boundRound && pee.match > 0
+	fresh := pee != nil && pee.incarnation != 0 && pee.ackRound >= max(pee.boundRound, cor.change.round)
 	if !fresh || pee.match < cor.commit {
 		return
 	}
@@ -114,13 +119,13 @@
 		cor.finishChange(nil)
 		return
 	}
-	silent := cor.now.mono-pee.ackAt >= cor.cfg.Lease
-	if pee.acked && !silent {
+	if pee.ackRound >= cha.round {
 		if pee.match >= cor.commit {
 			cor.finishChange(nil)
 		}
 		return
 	}
+	silent := cor.now.mono-pee.ackAt >= cor.cfg.Lease
 	if !silent || cha.kind != repairVoter || cha.promoted {
 		return
 	}
--- a/internal/control/fpgroup/harness_test.go
+++ b/internal/control/fpgroup/harness_test.go
@@ -435,6 +435,11 @@
 func (wor *world) client(ctx context.Context, number int) {
 	for count := 0; ctx.Err() == nil; count++ {
 		nod := wor.nodes[wor.names[wor.draw(len(wor.names))]]
+		if gro := nod.group(); gro != nil && wor.draw(4) > 0 {
+			if led := wor.nodes[gro.Status().Leader]; led != nil {
+				nod = led
+			}
+		}
 		if wor.draw(3) == 0 {
 			wor.read(nod, number)
 		} else {
--- a/internal/control/fpgroup/sim_test.go
+++ b/internal/control/fpgroup/sim_test.go
@@ -85,8 +85,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		wor := newWorld(t, seed, 3, nil)
 		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { wor.watch(ctx) })
+		watching, unwatch := context.WithCancel(context.Background())
+		var running, watcher sync.WaitGroup
+		watcher.Go(func() { wor.watch(watching) })
 		wor.leader()
 		for number := range 3 {
 			running.Go(func() { wor.client(ctx, number) })
@@ -95,9 +96,11 @@
 		for _, flt := range faults {
 			wor.inject(flt)
 		}
-		wor.heal()
 		cancel()
 		running.Wait()
+		wor.heal()
+		unwatch()
+		watcher.Wait()
 		wor.stopAll()
 		problems, ops = wor.problems, len(wor.ops)
 	})
