fpgrant: wait for the entry VMs' lists when an upstream restarts

Cause: the property test TestOneOwner found two processes that could run a request for one slot when an upstream without fence checks restarted: entry VMs held the address of the earlier process while its slots were owned by the name again. Ruled out: a grace time before a new leader replaces the lists of upstreams, because a table newer than the list names owners at old addresses.

--- a/internal/control/fpgrant/holder.go
+++ b/internal/control/fpgrant/holder.go
@@ -37,6 +37,11 @@
 	// checked no fences.
 	forfeited bool
 	unchecked bool
+	// doubtful states that slots of the name may be held by another process than this one, by a grant of an earlier
+	// leader. The first answer decides.
+	doubtful bool
+	// owing states that slots of earlier incarnations are still in the state owned.
+	owing bool
 
 	version uint64 // of the wanted set
 	base    uint64 // confirmed by the upstream; 0 when unknown
@@ -93,6 +98,8 @@
 	if hol.upstream == nil {
 		hol.seen = now
 		hol.upstream = ups
+		hol.doubtful = !ups.GetChecksFence() && kee.cfg.Table.Owned(hol.name) > 0
+		hol.unchecked = hol.doubtful
 		kee.publish(hol)
 		return true
 	}
@@ -114,9 +121,10 @@
 }
 
 // restarted replaces a holder's incarnation. Slots of the earlier one go through a whole move back to the same name, so
-// that requests that still run on the earlier process end before the new one starts.
+// that requests that still run on the earlier process end before the new one starts. An earlier incarnation without
+// contact in this term may not be the holder; then the first answer of the new one decides.
 func (kee *Keeper) restarted(now time.Time, hol *holder, ups *fpcontract.Upstream) {
-	kee.cfg.Table.held(hol.name, func(ref uint32) { kee.stages[ref] |= flagForfeit })
+	contact := hol.granted || !hol.answered.IsZero()
 	*hol = holder{
 		name:      hol.name,
 		leaseEnd:  hol.leaseEnd,
@@ -128,22 +136,44 @@
 		published: hol.published,
 		cameBack:  now,
 		returned:  true,
-		forfeited: true,
+		forfeited: hol.forfeited,
 		unchecked: hol.unchecked || !hol.upstream.GetChecksFence(),
 		version:   hol.version + 1,
 		logBase:   hol.version + 1,
 		releases:  hol.releases,
 	}
+	if contact {
+		kee.forfeit(hol)
+	} else {
+		hol.doubtful = kee.cfg.Table.Owned(hol.name) > 0
+	}
+	if hol.doubtful && hol.unchecked && hol.published != nil {
+		hol.published = nil
+		kee.registry++
+	}
 	kee.publish(hol)
 }
 
+// forfeit marks the slots of a name as those of an earlier process.
+func (kee *Keeper) forfeit(hol *holder) {
+	kee.cfg.Table.held(hol.name, func(ref uint32) { kee.stages[ref] |= flagForfeit })
+	hol.forfeited = true
+	hol.owing = true
+}
+
 // publish updates what entry VMs are told. After a restart of an upstream that checks no fence, entry VMs get the new
 // address only once no request can run on the earlier incarnation, since they would send requests for its slots there.
 func (kee *Keeper) publish(hol *holder) {
-	if hol.published == hol.upstream || hol.unchecked && kee.forfeits(hol) {
+	if hol.published == hol.upstream || hol.doubtful && hol.unchecked {
 		return
 	}
-	hol.unchecked = false
+	if hol.unchecked && kee.forfeits(hol) {
+		if !hol.proven {
+			return
+		}
+	} else {
+		hol.unchecked = false
+	}
 	hol.published = hol.upstream
 	kee.registry++
 }
@@ -213,9 +243,23 @@
 	default:
 		hol.base = 0
 	}
+	kee.resolve(hol)
 	return first || hol.sentTo != hol.version || len(hol.releases) > 0
 }
 
+// resolve ends the doubt about an upstream at its first answer. Without proof that it is the holder, its slots go through
+// a whole move back to the same name.
+func (kee *Keeper) resolve(hol *holder) {
+	if !hol.doubtful {
+		return
+	}
+	hol.doubtful = false
+	if !hol.proven {
+		kee.forfeit(hol)
+	}
+	kee.publish(hol)
+}
+
 func (kee *Keeper) confirm(hol *holder, version uint64) {
 	if version > hol.version || version < hol.logBase {
 		hol.base = 0
@@ -238,12 +282,18 @@
 	return hol.upstream.GetDraining() || kee.drained[hol.name]
 }
 
-// eligible reports whether the upstream may get slots of the service.
-func (kee *Keeper) eligible(now time.Time, hol *holder, service string) bool {
+// willing reports whether the upstream answers and takes slots of the service.
+func (kee *Keeper) willing(now time.Time, hol *holder, service string) bool {
 	return kee.alive(now, hol) && hol.upstream.GetService() == service && !kee.leaving(hol)
 }
 
-// held reports whether the hold-down after a return forbids rebalancing to and from the upstream.
+// eligible reports whether the upstream may get slots of the service now: an entry VM that learns of the new owner must
+// learn of its address with the same answer.
+func (kee *Keeper) eligible(now time.Time, hol *holder, service string) bool {
+	return kee.willing(now, hol, service) && hol.published == hol.upstream
+}
+
+// heldDown reports whether the hold-down after a return forbids rebalancing to and from the upstream.
 func (kee *Keeper) heldDown(now time.Time, hol *holder) bool {
 	return hol.returned && now.Sub(hol.cameBack) < kee.holdDown(hol.upstream.GetService())
 }
@@ -274,9 +324,10 @@
 }
 
 // mayLease reports whether a lease may be granted: on a recent token, and only when no other incarnation and no earlier
-// term can have left a lease in force.
+// term can have left a lease in force. An upstream with slots of an earlier incarnation gets none before these are
+// releasing, because a lease proves to the next leader that the upstream holds all slots that are owned by its name.
 func (kee *Keeper) mayLease(now time.Time, hol *holder) bool {
-	return hol.token != 0 && now.Sub(hol.tokenAt) < kee.cfg.Lease && (hol.proven || now.After(hol.blocked))
+	return hol.token != 0 && now.Sub(hol.tokenAt) < kee.cfg.Lease && !hol.doubtful && !hol.owing && (hol.proven || now.After(hol.blocked))
 }
 
 func (kee *Keeper) grant(now time.Time, hol *holder) *fpcontract.GrantRequest {
--- a/internal/control/fpgrant/keeper.go
+++ b/internal/control/fpgrant/keeper.go
@@ -179,6 +179,12 @@
 		hol.version = kee.firstVersion()
 		hol.forgetLog()
 	}
+	// A slot that the earlier leader began to move is granted to nobody until the move ends: its owner may have restarted.
+	for ref := range kee.stages {
+		if kee.stages[ref].step() == stageViewers {
+			kee.stages[ref] |= flagForfeit
+		}
+	}
 	return kee
 }
 
@@ -296,6 +302,12 @@
 		kee.hot.end(ref)
 		hol := kee.holder(tab.owners[cel.owner].name)
 		hol.load += float64(kee.weight(ref))
+		if hol.upstream != nil && hol.published != hol.upstream {
+			// Entry VMs send the slot's requests to the process that they were told, which is an earlier one.
+			kee.stages[ref] = flagForfeit
+			hol.forfeited, hol.owing = true, true
+			return
+		}
 		hol.change(ref, true)
 	case stateReleasing:
 		if old.step() == stageStill {
--- a/internal/control/fpgrant/move.go
+++ b/internal/control/fpgrant/move.go
@@ -1,6 +1,8 @@
 package fpgrant
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
@@ -145,7 +147,7 @@
 		if len(hol.releases) > 0 {
 			kee.advanceReleases(now, hol)
 		}
-		if hol.published != hol.upstream && hol.published != nil {
+		if hol.published != hol.upstream && (hol.published != nil || kee.alive(now, hol)) {
 			kee.publish(hol)
 		}
 	}
@@ -162,7 +164,7 @@
 		return
 	}
 	hol := kee.holder(bat.from)
-	for ref := range bat.refs {
+	for _, ref := range slices.Sorted(maps.Keys(bat.refs)) {
 		if blocked[ref] {
 			continue
 		}
@@ -203,13 +205,15 @@
 		if !lost && !leaving && !hol.forfeited {
 			continue
 		}
-		hol.forfeited = false
+		hol.forfeited, hol.owing = false, false
 		kee.cfg.Table.held(hol.name, func(ref uint32) {
 			sta := kee.stages[ref]
-			hol.forfeited = hol.forfeited || sta&flagForfeit != 0
+			forfeit := sta&flagForfeit != 0
+			hol.forfeited = hol.forfeited || forfeit
+			hol.owing = hol.owing || forfeit && kee.cfg.Table.cells[ref].state == stateOwned
 			switch {
 			case kee.cfg.Table.cells[ref].state != stateOwned || sta&flagPending != 0:
-			case sta&flagForfeit != 0:
+			case forfeit:
 				kee.release(ref, hol.name)
 			case lost || leaving:
 				kee.release(ref, "")
--- a/internal/control/fpgrant/place.go
+++ b/internal/control/fpgrant/place.go
@@ -26,9 +26,9 @@
 			kee.ready = append(kee.ready, ref)
 		}
 	}
-	for id, refs := range kee.free {
-		if len(refs) > 0 {
-			kee.placeFree(now, id, queue)
+	for id := range kee.cfg.Table.services {
+		if len(kee.free[uint32(id)]) > 0 {
+			kee.placeFree(now, uint32(id), queue)
 		}
 	}
 }
@@ -40,8 +40,10 @@
 	}
 	ent := kee.cfg.Table.entry(ref)
 	name := ent.GetTarget()
-	if hol := kee.holders[name]; hol == nil || !kee.eligible(now, hol, ent.GetService()) {
+	if hol := kee.holders[name]; hol == nil || !kee.willing(now, hol, ent.GetService()) {
 		name = queue(ent.GetService()).take(kee.weight(ref))
+	} else if !kee.eligible(now, hol, ent.GetService()) {
+		return false
 	}
 	ent.Target = ""
 	ent.Owner = name
--- a/internal/control/fpgrant/poll.go
+++ b/internal/control/fpgrant/poll.go
@@ -11,10 +11,6 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
-// registryGrace is how long a new leader collects announcements before it replaces the lists of upstreams that entry VMs
-// hold from the earlier leader. Upstreams announce themselves every second.
-const registryGrace = 2 * time.Second
-
 // viewerKey is one start of an entry VM.
 type viewerKey struct {
 	vm          string
@@ -62,18 +58,21 @@
 
 // News reports whether an answer to the poll would carry any change. The leader holds a long poll until then.
 func (kee *Keeper) News(now time.Time, req *fpwire.PollRequest) bool {
-	return PositionOf(req.GetTable()) != kee.cfg.Table.version || kee.registryNews(now, req) ||
-		PositionOf(req.GetConfiguration()).Less(kee.configVersion)
-}
-
-func (kee *Keeper) registryNews(now time.Time, req *fpwire.PollRequest) bool {
-	if req.GetRegistryTerm() == kee.cfg.Term {
-		return req.GetRegistry() != kee.registry
-	}
-	if req.GetRegistry() == 0 && kee.registry > 0 {
+	if PositionOf(req.GetConfiguration()).Less(kee.configVersion) {
 		return true
 	}
-	return now.Sub(kee.cfg.Elected) >= registryGrace
+	return !kee.cold(now, req) && (PositionOf(req.GetTable()) != kee.cfg.Table.version || kee.registryNews(req))
+}
+
+func (kee *Keeper) registryNews(req *fpwire.PollRequest) bool {
+	return req.GetRegistryTerm() != kee.cfg.Term || req.GetRegistry() != kee.registry
+}
+
+// cold reports whether the VM keeps its table and its list of upstreams from an earlier leader for now, because this
+// leader began to hear announcements only recently and its list may lack upstreams. Both are kept together, since the
+// owner in a newer table may have restarted and have another address than in the list.
+func (kee *Keeper) cold(now time.Time, req *fpwire.PollRequest) bool {
+	return now.Sub(kee.cfg.HearsSince) <= relearn && req.GetRegistryTerm() != 0 && req.GetRegistryTerm() != kee.cfg.Term
 }
 
 // PollAnswer builds the answer to a poll that Poll has taken. The caller must send it only while it holds its leader
@@ -82,24 +81,29 @@
 	kee.follow()
 	res := &fpwire.PollResponse{
 		Term:                 kee.cfg.Term,
-		Table:                kee.cfg.Table.version.Version(),
+		Table:                req.GetTable(),
+		Registry:             req.GetRegistry(),
 		ConfigurationVersion: kee.configVersion.Version(),
 	}
 	if kee.viewers[viewerKey{vm: req.GetVm(), incarnation: req.GetIncarnation()}] != nil {
 		res.Validity = durationpb.New(kee.cfg.TableValidity)
 	}
-	res.Entries, res.Full = kee.cfg.Table.Delta(PositionOf(req.GetTable()))
-	if kee.registryNews(now, req) {
-		res.Upstreams = kee.list()
-		res.UpstreamsChanged = true
-		res.Registry = kee.registry
-	}
 	if PositionOf(req.GetConfiguration()).Less(kee.configVersion) {
 		res.Configuration = kee.configuration
 	}
 	if kee.cfg.Quarantined != nil {
 		res.Quarantined = kee.cfg.Quarantined()
 	}
+	if kee.cold(now, req) {
+		return res
+	}
+	res.Table = kee.cfg.Table.version.Version()
+	res.Entries, res.Full = kee.cfg.Table.Delta(PositionOf(req.GetTable()))
+	if kee.registryNews(req) {
+		res.Upstreams = kee.list()
+		res.UpstreamsChanged = true
+		res.Registry = kee.registry
+	}
 	return res
 }
 
