fplimit: let the limit fall below one and predict the wait from the drain rate

Requests that had waited were shed by upstreams, because 10 VMs with a limit of at least 1 each exceed 3 units and 3 places in the queue, and the expected wait ignored pauses, so that requests waited up to 3 s instead of 250 ms. Ruled out: longer pauses after sheds alone, because the first answer ended them. Change: a limit below 1 is one request at a time with pauses between; the gain after a fall grows with the square of the time; the expected wait uses the time between answers while requests wait.

--- /dev/null
+++ b/internal/bench/fpmodel/surge_test.go
@@ -0,0 +1,177 @@
+package fpmodel_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpload"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpmodel"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpstandin"
+)
+
+// variant is a combination of decisions and upstream behaviour.
+type variant struct {
+	name    string
+	options fpmodel.Options
+	queue   int // of each worker
+	keys    uint64
+}
+
+// variants are those of the experiment on surges; the first is the router and the last two are baselines.
+func variants(dep fpmodel.Deployment) []variant {
+	naive := fpmodel.Options{
+		Policy:   1, // random
+		Retries:  fpmodel.Naive,
+		NoLimits: true,
+		NoHealth: true,
+	}
+	return []variant{
+		{
+			name:  "router",
+			queue: dep.Concurrency,
+		},
+		{
+			name:  "router, keyed",
+			queue: dep.Concurrency,
+			keys:  100_000,
+		},
+		{
+			name:    "baseline: unlimited queues, naive retries",
+			options: naive,
+			queue:   1 << 30,
+		},
+		{
+			name:    "baseline: shedding upstreams, naive retries",
+			options: naive,
+			queue:   dep.Concurrency,
+		},
+	}
+}
+
+// surge is the time course of the experiment.
+type surge struct {
+	before, during, after time.Duration
+}
+
+// run sends a load to a variant. The rate is 70% of saturation and rises to 10 times saturation.
+func (sur surge) run(t *testing.T, dep fpmodel.Deployment, vrt variant) (res *fpload.Result, attempts int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		clu := fpmodel.NewCluster(t.Context(), fpmodel.ClusterConfig{
+			Deployment: dep,
+			Options:    vrt.options,
+			Worker: fpstandin.WorkerConfig{
+				Queue:    vrt.queue,
+				Spread:   fpstandin.Exponential,
+				ShedCost: 100 * time.Microsecond,
+			},
+			Seed: *seed,
+		})
+		defer clu.Close()
+		var err error
+		res, err = fpload.Run(t.Context(), fpload.Config{
+			Name:     vrt.name,
+			Seed:     *seed,
+			Duration: sur.before + sur.during + sur.after,
+			Schedule: fpload.Schedule{
+				Rate:     0.7 * dep.Saturation(),
+				Factor:   10 / 0.7,
+				SurgeAt:  sur.before,
+				SurgeFor: sur.during,
+			},
+			Keys: fpload.KeysConfig{
+				Keys: vrt.keys,
+			},
+			MaxInFlight: 1_000_000,
+			Send:        clu.Send,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		attempts = clu.Attempts()
+	})
+	return res, attempts
+}
+
+// saturated returns the goodput at an offered load equal to saturation.
+func saturated(t *testing.T, dep fpmodel.Deployment, vrt variant) float64 {
+	t.Helper()
+	var goodput float64
+	synctest.Test(t, func(t *testing.T) {
+		clu := fpmodel.NewCluster(t.Context(), fpmodel.ClusterConfig{
+			Deployment: dep,
+			Options:    vrt.options,
+			Worker: fpstandin.WorkerConfig{
+				Queue:    vrt.queue,
+				Spread:   fpstandin.Exponential,
+				ShedCost: 100 * time.Microsecond,
+			},
+			Seed: *seed,
+		})
+		defer clu.Close()
+		res, err := fpload.Run(t.Context(), fpload.Config{
+			Seed:     *seed,
+			Duration: 5 * time.Second,
+			Schedule: fpload.Schedule{
+				Rate: dep.Saturation(),
+			},
+			Keys: fpload.KeysConfig{
+				Keys: vrt.keys,
+			},
+			Send: clu.Send,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		goodput = res.Goodput(time.Second, 5*time.Second)
+	})
+	return goodput
+}
+
+// TestSurge measures a surge to 10 times saturation on simulated time. It guards the bounds of section 9: goodput within
+// 10% of that at saturation, refusals within 10 ms and marked as not run, p99 latency back to normal within 5 s.
+func TestSurge(t *testing.T) {
+	dep := fpmodel.Haugland()
+	sur := surge{
+		before: 2 * time.Second,
+		during: 2 * time.Second,
+		after:  7 * time.Second,
+	}
+	compared := variants(dep)[:2]
+	if *full {
+		sur.during = 5 * time.Second
+		sur.after = 20 * time.Second
+		compared = variants(dep)
+	}
+	t.Logf("seed %d, simulated time, saturation %.0f/s", *seed, dep.Saturation())
+	for i, vrt := range compared {
+		res, attempts := sur.run(t, dep, vrt)
+		reference := dep.Saturation()
+		measured := saturated(t, dep, vrt)
+		begin, end := sur.before, sur.before+sur.during
+		goodput := res.Goodput(begin+time.Second, end)
+		normal := res.P99Between(0, begin)
+		recovery, recovered := res.RecoveryTime(end, 3*normal/2)
+		late := res.Latency(fpload.Refused, 99)
+		t.Logf("| %s | %.0f | %.0f | %.2f | %.2f | %.2f | %.1f | %.1f | %.1f | %v, %v | %.2f | %d |",
+			vrt.name, measured, goodput, goodput/reference, millis(res.Latency(fpload.Refused, 50)), millis(late),
+			millis(res.Latency(fpload.Refused, 100)), millis(normal), millis(res.P99Between(begin+time.Second, end)),
+			recovery, recovered, float64(attempts)/float64(res.Count(fpload.Answered)), res.Count(fpload.Failed))
+		if i >= 2 {
+			continue // a baseline has no bound
+		}
+		if goodput < 0.9*reference {
+			t.Errorf("%s: goodput %.0f/s in the surge, %.0f/s at saturation", vrt.name, goodput, reference)
+		}
+		if late > 10*time.Millisecond {
+			t.Errorf("%s: p99 of refusals %v", vrt.name, late)
+		}
+		if !recovered || recovery > 5*time.Second {
+			t.Errorf("%s: p99 latency normal again after %v, %v", vrt.name, recovery, recovered)
+		}
+		if failed := res.Count(fpload.Failed); failed > 0 {
+			t.Errorf("%s: %d requests without an answer or a proof that they did not run", vrt.name, failed)
+		}
+	}
+}
--- a/internal/route/fplimit/core.go
+++ b/internal/route/fplimit/core.go
@@ -191,8 +191,7 @@
 // of a caller above its share does not refuse the requests of others.
 func (cor *Core) expectedWait(now time.Time, cal Call, acc *account) time.Duration {
 	_, meanUse := cor.shares.active(now)
-	each := cor.learn.serviceTime(now) / time.Duration(cor.learn.units())
-	wait := each * time.Duration(cor.queue.ahead(now, meanUse, cal, acc)+1)
+	wait := cor.learn.waitEach(now) * time.Duration(cor.queue.ahead(now, meanUse, cal, acc)+1)
 	if pause := cor.learn.paused.Sub(now); pause > 0 {
 		wait += pause
 	}
@@ -233,6 +232,10 @@
 	case !cal.Bundle:
 		cor.learn.answered(now, took, full)
 	}
+	if !failed {
+		cor.learn.drained(now, len(cor.queue.waiters) > 0)
+	}
+	cor.learn.passed(now)
 	return cor.Tick(now)
 }
 
--- a/internal/route/fplimit/learn.go
+++ b/internal/route/fplimit/learn.go
@@ -26,15 +26,26 @@
 	// shedFactor and slowFactor multiply the limit after a shed request and after a slow window or a timeout.
 	shedFactor = 0.8
 	slowFactor = 0.9
-	// maxPause bounds the pause after sheds when the upstream named none.
+	// lowestLimit bounds the limit below. A limit under 1 is one request at a time with pauses between: the fair limit of
+	// one of many VMs that share an upstream can be far below 1.
+	lowestLimit = 0.01
+	// slowestGain is the rise of the limit per round of answers right after it was lowered, and gainTime is the time
+	// after which the gain is doubled; it grows with the square of the time. A high gain right away would find the
+	// upstream's bound again and again, and each time some request is shed.
+	slowestGain = 0.02
+	gainTime    = 200 * time.Millisecond
+	// maxPause bounds the pause between requests.
 	maxPause = 200 * time.Millisecond
+	// gapWeight is the weight of one interval in the moving mean of the time between answers.
+	gapWeight = 0.1
 	// staleMean is the time without answers after which the mean is halved, so that a mean from a slow phase does not
 	// refuse requests for ever.
 	staleMean = time.Second
 )
 
-// learner adapts the concurrency limit of one upstream to its answers. The limit rises by one per round of answers while
-// it is in use and the service time is near the baseline, and falls by a factor after sheds, timeouts and slow windows.
+// learner adapts the concurrency limit of one upstream to its answers. The limit rises by at most one per round of answers
+// while it is in use and the service time is near the baseline, the slower the more recently it fell. It falls by a factor
+// after sheds, timeouts and slow windows.
 type learner struct {
 	ran           *rand.Rand
 	limit         float64
@@ -49,7 +60,9 @@
 	baselineStart time.Time
 	lowered       time.Time
 	paused        time.Time
-	shedsInRow    int
+	gap           time.Duration // mean time between answers while requests wait
+	gapAt         time.Time
+	answeredAt    time.Time // the last answer, if requests waited then
 }
 
 // units returns the number of requests that may run at once; at least 1.
@@ -82,7 +95,6 @@
 
 // answered learns from a complete answer to a small call.
 func (lea *learner) answered(now time.Time, took time.Duration, full bool) {
-	lea.shedsInRow = 0
 	lea.observe(now, took)
 	slow := lea.closeWindow(now, full)
 	if slow || !full {
@@ -90,10 +102,56 @@
 	}
 	base := lea.baseline()
 	if base == 0 || float64(lea.mean) <= raiseBelow*float64(base) {
-		lea.limit = min(lea.ceiling, lea.limit+1/lea.limit)
+		lea.limit = min(lea.ceiling, lea.limit+lea.gain(now)/max(1, lea.limit))
 	}
 }
 
+// gain returns the rise of the limit per round of answers, at most 1.
+func (lea *learner) gain(now time.Time) float64 {
+	if lea.lowered.IsZero() {
+		return 1
+	}
+	times := float64(now.Sub(lea.lowered)) / float64(gainTime)
+	return min(1, slowestGain*(1+times*times))
+}
+
+// passed notes the end of an attempt and the pause that a limit below 1 needs after it.
+func (lea *learner) passed(now time.Time) {
+	if lea.limit < 1 {
+		length := float64(lea.mean) * (1/lea.limit - 1)
+		lea.pause(now, time.Duration(min(length, float64(maxPause))))
+	}
+}
+
+// drained notes that an attempt ended with an answer, and whether requests wait. The time between answers while requests
+// wait is the rate at which the queue drains, pauses and sheds included.
+func (lea *learner) drained(now time.Time, waiting bool) {
+	if !lea.answeredAt.IsZero() {
+		interval := now.Sub(lea.answeredAt)
+		if lea.gap == 0 {
+			lea.gap = interval
+		}
+		lea.gap += time.Duration(gapWeight * float64(interval-lea.gap))
+		lea.gapAt = now
+	}
+	lea.answeredAt = time.Time{}
+	if waiting {
+		lea.answeredAt = now
+	}
+}
+
+// waitEach returns the expected time that each waiter adds to the wait of those behind it.
+func (lea *learner) waitEach(now time.Time) time.Duration {
+	each := lea.serviceTime(now) / time.Duration(lea.units())
+	if lea.limit < 1 {
+		each = time.Duration(float64(each) / lea.limit)
+	}
+	if now.Sub(lea.gapAt) < staleMean {
+		each = max(each, lea.gap)
+	}
+	return each
+}
+
 // observe adds one service time to the mean and to the window.
 func (lea *learner) observe(now time.Time, took time.Duration) {
 	if lea.mean == 0 {
@@ -138,12 +196,8 @@
 func (lea *learner) failed(now time.Time, kin fperror.Kind, pushBack time.Duration) {
 	switch kin {
 	case fperror.UpstreamShed:
-		atFloor := lea.limit <= 1
 		lea.lower(now, shedFactor)
-		lea.shedsInRow++
-		if atFloor || pushBack > 0 {
-			lea.pause(now, pushBack)
-		}
+		lea.notBefore(now.Add(pushBack))
 	case fperror.DeadlineExceeded:
 		lea.lower(now, slowFactor)
 	}
@@ -155,18 +209,17 @@
 		return
 	}
 	lea.lowered = now
-	lea.limit = max(1, lea.limit*factor)
+	lea.limit = max(lowestLimit, lea.limit*factor)
 }
 
-// pause stops new requests for a time. Several VMs share an upstream, so the fair limit of one VM can be below 1; the
-// pause is what brings its mean concurrency below 1.
-func (lea *learner) pause(now time.Time, pushBack time.Duration) {
-	length := pushBack
-	if length <= 0 {
-		doubled := float64(max(lea.mean, time.Millisecond)) * math.Exp2(float64(min(lea.shedsInRow, 8)-1))
-		length = time.Duration((0.5 + lea.ran.Float64()) * min(doubled, float64(maxPause)))
-	}
-	if until := now.Add(length); until.After(lea.paused) {
+// pause stops new requests for a jittered time.
+func (lea *learner) pause(now time.Time, length time.Duration) {
+	lea.notBefore(now.Add(time.Duration((0.5 + lea.ran.Float64()) * float64(length))))
+}
+
+// notBefore stops new requests until a time.
+func (lea *learner) notBefore(until time.Time) {
+	if until.After(lea.paused) {
 		lea.paused = until
 	}
 }
