fpmodel: add experiments on failures, bundles and newcomers

Ruled out: a limit on bundles per VM alone, since 5 VMs of a region with 2 bundles each fill every unit of an upstream. Change: experiments on amplification, ejection, bundles and a cold newcomer; the part of a region's upstreams without bundles is rounded up, so that it is 2 of 4 instead of 1 of 4.

--- a/internal/bench/fpmodel/vm.go
+++ b/internal/bench/fpmodel/vm.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,8 @@
 	NoLimits bool
 	// NoHealth leaves fphealth out.
 	NoHealth bool
+	// NoBundleRules treats bundles as small calls.
+	NoBundleRules bool
 }
 
 // VMConfig configures a VM.
@@ -72,10 +75,12 @@
 type VM struct {
 	cfg     VMConfig
 	balance *fpbalance.Balancer
-	limits  map[string]*fplimit.Limiter
 	retry   *fpretry.Retrier
 	health  *fphealth.Set
-	names   []string
+
+	mut    sync.Mutex
+	limits map[string]*fplimit.Limiter
+	names  []string
 }
 
 // NewVM returns a VM that knows its upstreams and has no answers from them yet.
@@ -111,10 +116,11 @@
 	return vma
 }
 
-// SetUpstreams replaces the list of upstreams. It must not run together with Send.
+// SetUpstreams replaces the list of upstreams.
 func (vma *VM) SetUpstreams(ups []fpbalance.Upstream) {
 	vma.balance.Update(ups)
 	known := map[string]uint64{}
+	vma.mut.Lock()
 	vma.names = nil
 	for _, up := range ups {
 		known[up.Name] = up.Incarnation
@@ -127,6 +133,7 @@
 		}
 	}
 	slices.Sort(vma.names)
+	vma.mut.Unlock()
 	vma.apply(vma.health.Update(time.Now(), known))
 }
 
@@ -134,7 +141,18 @@
 func (vma *VM) Health() *fphealth.Set { return vma.health }
 
 // Limit returns the limiter of an upstream.
-func (vma *VM) Limit(name string) *fplimit.Limiter { return vma.limits[name] }
+func (vma *VM) Limit(name string) *fplimit.Limiter {
+	vma.mut.Lock()
+	defer vma.mut.Unlock()
+	return vma.limits[name]
+}
+
+// Names returns the names of the upstreams in order.
+func (vma *VM) Names() []string {
+	vma.mut.Lock()
+	defer vma.mut.Unlock()
+	return vma.names
+}
 
 // Poll reads load and health of all upstreams until ctx ends. The returned channel is then closed.
 func (vma *VM) Poll(ctx context.Context) <-chan struct{} {
@@ -144,7 +162,7 @@
 		ticker := time.NewTicker(pollEvery)
 		defer ticker.Stop()
 		for {
-			for _, name := range vma.names {
+			for _, name := range vma.Names() {
 				vma.readOne(ctx, name)
 			}
 			select {
@@ -295,9 +313,9 @@
 		if vma.cfg.Options.NoLimits {
 			return name, func(fplimit.Result) {}, nil
 		}
-		done, err := vma.limits[name].Admit(ctx, fplimit.Call{
+		done, err := vma.Limit(name).Admit(ctx, fplimit.Call{
 			Caller:   req.Caller,
-			Bundle:   req.Bundle,
+			Bundle:   vma.isBundle(req),
 			Deadline: req.Deadline,
 		})
 		if err == nil {
@@ -313,14 +331,19 @@
 	return "", nil, refused
 }
 
-// choose returns the owner of the request's key, or the choice of the balancer. Without retries to spare it takes an
-// upstream that was tried before rather than none.
+// isBundle reports whether the rules for bundles apply to a request.
+func (vma *VM) isBundle(req fpload.Request) bool {
+	return req.Bundle && !vma.cfg.Options.NoBundleRules
+}
+
+// choose returns the owner of the request's key, or the choice of the balancer.
 func (vma *VM) choose(req fpload.Request, left []string) (string, error) {
 	if req.Key != "" {
-		return vma.names[xxhash.Sum64String(req.Key)%uint64(len(vma.names))], nil
+		names := vma.Names()
+		return names[xxhash.Sum64String(req.Key)%uint64(len(names))], nil
 	}
 	cal := fpbalance.Call{
-		Bundle: req.Bundle,
+		Bundle: vma.isBundle(req),
 		Bytes:  callBytes,
 		Tried:  left,
 	}
--- a/internal/bench/fpstandin/standin.go
+++ b/internal/bench/fpstandin/standin.go
@@ -90,7 +90,7 @@
 	}
 	sta.address = lis.Addr().String()
 	sta.incarnation = uint64(time.Now().UnixNano())
-	sta.worker.Restart()
+	sta.worker.Restart(sta.cfg.Worker.ColdRequests)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/internal/bench/fpstandin/worker.go
+++ b/internal/bench/fpstandin/worker.go
@@ -82,6 +82,7 @@
 	started  int // requests since the start
 	sheds    int
 	fail     error
+	failPart float64
 	runs     map[string]int
 	history  []loadSample
 	shedDebt time.Duration
@@ -125,7 +126,7 @@
 func (wor *Worker) enter() error {
 	wor.mut.Lock()
 	defer wor.mut.Unlock()
-	if wor.fail != nil {
+	if wor.fail != nil && wor.ran.Float64() < wor.failPart {
 		return wor.fail
 	}
 	if wor.running+wor.queued >= wor.cfg.Concurrency+wor.cfg.Queue {
@@ -238,18 +239,20 @@
 	wor.history = nil
 }
 
-// Fail makes the worker end all later requests with an error at once; nil ends this.
-func (wor *Worker) Fail(err error) {
+// Fail makes the worker end a part of all later requests, between 0 and 1, with an error at once; nil ends this.
+func (wor *Worker) Fail(err error, part float64) {
 	wor.mut.Lock()
 	defer wor.mut.Unlock()
 	wor.fail = err
+	wor.failPart = part
 }
 
-// Restart makes the worker cold again.
-func (wor *Worker) Restart() {
+// Restart makes the worker cold again, for a number of requests.
+func (wor *Worker) Restart(coldRequests int) {
 	wor.mut.Lock()
 	defer wor.mut.Unlock()
 	wor.started = 0
+	wor.cfg.ColdRequests = coldRequests
 }
 
 // Runs returns how often the request with a key began to run.
--- a/internal/route/fpbalance/balancer.go
+++ b/internal/route/fpbalance/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -167,7 +168,7 @@
 		})
 		reserved := 0
 		if len(list) > 1 {
-			reserved = max(1, int(reservedPart*float64(len(list))))
+			reserved = int(math.Ceil(reservedPart * float64(len(list))))
 		}
 		for i, name := range list {
 			if mem, ok := bal.members[name]; ok {
