fpserve: test the forwarding path against stand-in upstreams

A property test sends non-idempotent calls under refusals, lost connections, truncated and late answers and lost claims. Well-known types whose JSON form has no fields cannot hold a key, which fpschema now reports.

--- a/internal/config/fpschema/build.go
+++ b/internal/config/fpschema/build.go
@@ -190,12 +190,27 @@
 			che.fault("%s %q: the field %q is a group", option, name, part)
 			return nil, false
 		}
+		if hasOwnJSON(msg) {
+			che.fault("%s %q: the JSON form of %s is no object with fields", option, name, msg.FullName())
+			return nil, false
+		}
 		pat = append(pat, fie)
 		msg = fie.Message()
 	}
 	return pat, true
 }
 
+// hasOwnJSON reports whether a message is one of the well-known types whose JSON form is not made of its fields.
+func hasOwnJSON(msg protoreflect.MessageDescriptor) bool {
+	switch msg.ParentFile().Path() {
+	case "google/protobuf/any.proto", "google/protobuf/duration.proto", "google/protobuf/field_mask.proto",
+		"google/protobuf/struct.proto", "google/protobuf/timestamp.proto", "google/protobuf/wrappers.proto":
+		return true
+	default:
+		return false
+	}
+}
+
 // isKeyKind reports whether a key may have the kind. Floats and booleans are excluded: the first have several spellings
 // of one value, and the second make only two keys.
 func isKeyKind(kin protoreflect.Kind) bool {
--- a/internal/config/fpschema/schema_test.go
+++ b/internal/config/fpschema/schema_test.go
@@ -93,6 +93,9 @@
   rpc One(Request) returns (Request) {
     option (foxtailpulley.schema.v1.method_rule) = {key_field: "one"};
   }
+  rpc Own(google.protobuf.Duration) returns (Request) {
+    option (foxtailpulley.schema.v1.method_rule) = {key_field: "seconds"};
+  }
 }
 service Loose {
   option (foxtailpulley.schema.v1.service_rule) = {home_field: "key"};
@@ -114,9 +117,10 @@
 		`schema.proto:12: method /demo.Keyed/Zero: default_deadline is 0s, it must be greater than 0`,
 		`schema.proto:15: method /demo.Keyed/Types: key_field "ratio" is of type double`,
 		`schema.proto:18: method /demo.Keyed/One: key_field "one": the field "one" is part of a oneof`,
-		`schema.proto:22: service demo.Loose: home_field needs keyed = true`,
-		`schema.proto:24: method /demo.Loose/Key: key_field is "key", but the service is not keyed`,
-		`schema.proto:27: method /demo.Loose/Stream: a non-idempotent method cannot take a stream of requests`,
+		`schema.proto:21: method /demo.Keyed/Own: key_field "seconds": the JSON form of google.protobuf.Duration is no object`,
+		`schema.proto:25: service demo.Loose: home_field needs keyed = true`,
+		`schema.proto:27: method /demo.Loose/Key: key_field is "key", but the service is not keyed`,
+		`schema.proto:30: method /demo.Loose/Stream: a non-idempotent method cannot take a stream of requests`,
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("the fault is not reported: %s\ngot:\n%v", want, err)
--- /dev/null
+++ b/internal/route/fpserve/once_test.go
@@ -0,0 +1,246 @@
+package fpserve_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+)
+
+// sends numbers the sends of all calls.
+var sends atomic.Int64
+
+// TestAtMostOnce guards against a second run of a non-idempotent call, against an answer that says notRun for a call that
+// ran, and against a wrong answer, under refusals, lost connections, truncated and late answers and lost claims.
+func TestAtMostOnce(t *testing.T) {
+	one, two := newStandin(t, "one"), newStandin(t, "two")
+	var moved atomic.Bool
+	rou := newRouter(t, func(cfg *fpserve.Config) {
+		choose := cfg.Choose
+		cfg.Choose = func(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
+			tar, err := choose(ctx, cal)
+			tar.Check = func() error {
+				if moved.Swap(false) {
+					return fperror.New(fperror.NoOwner, "moved")
+				}
+				return nil
+			}
+			return tar, err
+		}
+	}, one, two)
+	clients := []*http.Client{newCaller(t, true), newCaller(t, false)}
+	rapid.Check(t, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, int(faultCount)-1), 1, 6).Draw(t, "faults")
+		claimFaults := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 3).Draw(t, "claimFaults")
+		resends := rapid.IntRange(1, 3).Draw(t, "resends")
+		together := rapid.Bool().Draw(t, "together")
+		grpc := rapid.Bool().Draw(t, "grpc")
+		moved.Store(rapid.Bool().Draw(t, "moved"))
+		script := newScript(faults)
+		one.setFault(script.next)
+		two.setFault(script.next)
+		rou.claims.setFault(claimScript(claimFaults))
+		cal := &onceCall{
+			router: rou,
+			key:    newKeyOf(t),
+		}
+		if grpc {
+			cal.opts = protocols["grpc"]
+		}
+		outcomes := cal.sendAll(clients, resends, together)
+		cal.verify(t, outcomes, one, two)
+	})
+}
+
+func newKeyOf(t *rapid.T) string {
+	key, err := newUUID()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func newScript(faults []int) *script { return &script{faults: faults} }
+
+// script gives one fault to each arrival, and none after its end.
+type script struct {
+	mutex  sync.Mutex
+	faults []int
+}
+
+func (scr *script) next(*http.Request) fault {
+	scr.mutex.Lock()
+	defer scr.mutex.Unlock()
+	if len(scr.faults) == 0 {
+		return none
+	}
+	fau := fault(scr.faults[0])
+	scr.faults = scr.faults[1:]
+	return fau
+}
+
+func claimScript(faults []int) func() error {
+	return func() error {
+		if len(faults) == 0 {
+			return nil
+		}
+		fau := faults[0]
+		faults = faults[1:]
+		switch fau {
+		case 0:
+			return fperror.New(fperror.ClaimUnavailable, "no leader")
+		case 1:
+			return fperror.New(fperror.CommitUnknown, "the answer was lost")
+		default:
+			return nil
+		}
+	}
+}
+
+// onceCall is one non-idempotent call that is sent several times with the same key.
+type onceCall struct {
+	router *router
+	key    string
+	opts   []connect.ClientOption
+}
+
+// sent is one send and its answer.
+type sent struct {
+	id      string
+	value   string
+	outcome string
+	err     error
+}
+
+func (cal *onceCall) sendAll(clients []*http.Client, num int, together bool) []sent {
+	all := make([]sent, num)
+	var gro sync.WaitGroup
+	for pos := range all {
+		cli := clients[pos%len(clients)]
+		if len(cal.opts) > 0 {
+			cli = clients[0]
+		}
+		send := func() { all[pos] = cal.send(cli) }
+		if together {
+			gro.Go(send)
+			continue
+		}
+		send()
+	}
+	gro.Wait()
+	return all
+}
+
+func (cal *onceCall) send(cli *http.Client) sent {
+	id := strconv.FormatInt(sends.Add(1), 10)
+	req := connect.NewRequest(&text{RequestId: cal.key})
+	req.Header().Set("Idempotency-Key", cal.key)
+	req.Header().Set("X-Send", id)
+	if len(cal.opts) > 0 {
+		req.Header().Set("Grpc-Timeout", "60m")
+	} else {
+		req.Header().Set("Connect-Timeout-Ms", "60")
+	}
+	// A deadline of the context would replace the header, so only a timer guards against a call that never returns.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer time.AfterFunc(5*time.Second, cancel).Stop()
+	res, err := connect.NewClient[text, text](cli, cal.router.URL+"/demo.Test/Once", cal.opts...).CallUnary(ctx, req)
+	out := sent{
+		id:  id,
+		err: err,
+	}
+	var conErr *connect.Error
+	if errors.As(err, &conErr) {
+		out.outcome = conErr.Meta().Get("Foxtailpulley-Outcome")
+	}
+	if err == nil {
+		out.value = res.Msg.RequestId
+	}
+	return out
+}
+
+func (cal *onceCall) verify(t *rapid.T, outcomes []sent, upstreams ...*standin) {
+	total := 0
+	for _, sta := range upstreams {
+		runs, _ := sta.total(cal.key, "")
+		total += runs
+	}
+	if total > 1 {
+		t.Fatalf("the call ran %d times", total)
+	}
+	for _, out := range outcomes {
+		ran := 0
+		for _, sta := range upstreams {
+			_, num := sta.total("", out.id)
+			ran += num
+		}
+		switch {
+		case out.err == nil && (out.value != "re:"+cal.key || total != 1):
+			t.Fatalf("the answer %q came after %d runs", out.value, total)
+		case out.err != nil && out.outcome == "":
+			t.Fatalf("the error %v has no outcome", out.err)
+		case out.outcome == "notRun" && ran != 0:
+			t.Fatalf("the call ran, but its answer is %v", out.err)
+		case out.outcome == "ran" && total != 1:
+			t.Fatalf("the answer says ran after %d runs", total)
+		}
+	}
+}
+
+// TestLostThenRefused guards against notRun as the answer to a call whose first attempt may have run and whose second was
+// refused.
+func TestLostThenRefused(t *testing.T) {
+	sta := newStandin(t, "one")
+	scr := newScript([]int{int(runCut), int(shed), int(shed), int(shed)})
+	sta.setFault(scr.next)
+	rou := newRouter(t, nil, sta)
+	_, err := call(rou, newCaller(t, true), "/demo.Test/Idem", "x", "")
+	var conErr *connect.Error
+	if !errors.As(err, &conErr) || conErr.Meta().Get("Foxtailpulley-Outcome") != "unknown" {
+		t.Errorf("got %v with %v", err, conErr.Meta())
+	}
+}
+
+// TestRecordedAnswer guards against a resend that runs again or gets another answer than the first send.
+func TestRecordedAnswer(t *testing.T) {
+	sta := newStandin(t, "one")
+	rou := newRouter(t, nil, sta)
+	for name, opts := range protocols {
+		key := newKey(t)
+		first, err := call(rou, newCaller(t, true), "/demo.Test/Once", name, key, opts...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := call(rou, newCaller(t, true), "/demo.Test/Once", name, key, opts...)
+		if err != nil || !proto.Equal(first.Msg, second.Msg) || second.Trailer().Get("X-Trailer") != name {
+			t.Errorf("%s: the resend got %v, %v", name, second, err)
+		}
+		if runs, _ := sta.total(key, ""); runs != 1 {
+			t.Errorf("%s: %d runs", name, runs)
+		}
+	}
+}
+
+func (sta *standin) setFault(fau func(*http.Request) fault) {
+	sta.mutex.Lock()
+	defer sta.mutex.Unlock()
+	sta.fault = fau
+}
+
+func (cla *claims) setFault(fau func() error) {
+	cla.mutex.Lock()
+	defer cla.mutex.Unlock()
+	cla.fault = fau
+}
