fpconn: fail at once when no connection can be opened

A caller that waited for a connection to a frozen upstream was never told, because the next attempt had always begun already. The latest failure now answers all callers while the pool keeps trying.

--- /dev/null
+++ b/internal/route/fptable/table_test.go
@@ -0,0 +1,287 @@
+package fptable_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fpclock"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// clocks are a monotonic and a wall clock that can be moved apart.
+type clocks struct {
+	mono time.Duration
+	wall time.Time
+}
+
+func (clo *clocks) now() fpclock.Moment { return fpclock.At(clo.mono, clo.wall) }
+
+func (clo *clocks) advance(dur time.Duration) {
+	clo.mono += dur
+	clo.wall = clo.wall.Add(dur)
+}
+
+// newTable returns a table with one service of eight slots, whose group is oslo.
+func newTable(cfg fptable.Config) (*fptable.Table, *clocks) {
+	clo := &clocks{wall: time.Unix(1_800_000_000, 0)}
+	cfg.Now = clo.now
+	tab := fptable.New(cfg)
+	tab.Configure([]*fpoperator.Service{{
+		Name:  "demo.Stock",
+		Slots: 8,
+		Homes: []*fpoperator.Home{{Group: "oslo", FirstSlot: 0, LastSlot: 7}},
+	}})
+	return tab, clo
+}
+
+func owned(number uint32, owner string, epoch uint64) *fpwire.SlotEntry {
+	return &fpwire.SlotEntry{
+		Service: "demo.Stock",
+		Number:  number,
+		Owner:   owner,
+		Epoch:   epoch,
+		State:   fpwire.SlotState_SLOT_STATE_OWNED,
+	}
+}
+
+func releasing(ent *fpwire.SlotEntry) *fpwire.SlotEntry {
+	ent.State = fpwire.SlotState_SLOT_STATE_RELEASING
+	return ent
+}
+
+func answer(index uint64, full bool, entries ...*fpwire.SlotEntry) *fpwire.PollResponse {
+	return &fpwire.PollResponse{
+		Term:     1,
+		Table:    &fpoperator.Version{Term: 1, Index: index},
+		Full:     full,
+		Entries:  entries,
+		Validity: durationpb.New(time.Second),
+	}
+}
+
+// whole returns a whole table in which one upstream owns all slots.
+func whole(index uint64, owner string) *fpwire.PollResponse {
+	var all []*fpwire.SlotEntry
+	for num := range uint32(8) {
+		all = append(all, owned(num, owner, 1))
+	}
+	return answer(index, true, all...)
+}
+
+func apply(t *testing.T, tab *fptable.Table, res *fpwire.PollResponse) {
+	t.Helper()
+	if _, err := tab.Apply(tab.Poll("oslo"), res); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func route(tab *fptable.Table, clo *clocks, key string) (*fptable.Flight, error) {
+	return tab.Route(context.Background(), "demo.Stock", []byte(key), "", clo.wall.Add(5*time.Second))
+}
+
+// TestValidity guards against a keyed request on an expired table: the time counts from when the poll was sent, by the
+// clock that shows more.
+func TestValidity(t *testing.T) {
+	tab, clo := newTable(fptable.Config{})
+	if _, err := route(tab, clo, "a"); !fperror.Is(err, fperror.TableExpired) {
+		t.Errorf("a request was routed without a table: %v", err)
+	}
+	pol := tab.Poll("oslo")
+	clo.advance(600 * time.Millisecond) // the answer is slow
+	if _, err := tab.Apply(pol, whole(1, "one")); err != nil {
+		t.Fatal(err)
+	}
+	fli, err := route(tab, clo, "a")
+	if err != nil || fli.Owner() != "one" || fli.Epoch() != 1 || fli.Check() != nil {
+		t.Fatalf("got %v, %v", fli, err)
+	}
+	clo.wall = clo.wall.Add(500 * time.Millisecond) // the monotonic clock stands still while the VM is paused
+	if err := fli.Check(); !fperror.Is(err, fperror.TableExpired) {
+		t.Errorf("an expired table passed the check before the forward: %v", err)
+	}
+	if _, err := route(tab, clo, "a"); !fperror.Is(err, fperror.TableExpired) {
+		t.Errorf("a request was routed on an expired table: %v", err)
+	}
+}
+
+// TestOlderTables guards against a late answer that brings back an older table, and against a change that is applied to
+// another table than the one it was made for.
+func TestOlderTables(t *testing.T) {
+	tab, clo := newTable(fptable.Config{})
+	first := tab.Poll("oslo")
+	if _, err := tab.Apply(first, answer(1, false, owned(0, "one", 1))); err == nil {
+		t.Error("a change without a table was taken")
+	}
+	late := tab.Poll("oslo")
+	apply(t, tab, whole(5, "two"))
+	for name, res := range map[string]*fpwire.PollResponse{
+		"older index":  whole(4, "one"),
+		"other base":   answer(6, false, owned(0, "one", 2)),
+		"no version":   {Term: 1, Validity: durationpb.New(time.Second)},
+		"other leader": {Leader: "vm-2"},
+	} {
+		if _, err := tab.Apply(late, res); err == nil {
+			t.Errorf("%s: the answer was taken", name)
+		}
+	}
+	older := whole(9, "one")
+	older.Term = 0
+	if _, err := tab.Apply(late, older); err == nil {
+		t.Error("the answer of an older term was taken")
+	}
+	fli, err := route(tab, clo, "a")
+	if err != nil || fli.Owner() != "two" {
+		t.Errorf("got %v, %v", fli, err)
+	}
+}
+
+// TestMove guards against a move of a slot past requests in flight: after the state releasing no request is admitted, and
+// those admitted before are reported until they are done.
+func TestMove(t *testing.T) {
+	tab, clo := newTable(fptable.Config{MoveWait: time.Nanosecond})
+	apply(t, tab, whole(1, "one"))
+	fli, err := route(tab, clo, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	num := fli.Place().Slot
+	apply(t, tab, answer(2, false, releasing(owned(num, "one", 1))))
+	if _, err := route(tab, clo, "a"); !fperror.Is(err, fperror.NoOwner) {
+		t.Errorf("a moving slot admitted a request: %v", err)
+	}
+	if err := fli.Check(); !fperror.Is(err, fperror.NoOwner) {
+		t.Errorf("a request for a moving slot passed the check before the forward: %v", err)
+	}
+	clo.advance(100 * time.Millisecond)
+	busy := tab.Poll("oslo").Request().GetBusy()
+	if len(busy) != 1 || busy[0].GetNumber() != num || busy[0].GetRemaining().AsDuration() != 4900*time.Millisecond {
+		t.Fatalf("the poll reports %v", busy)
+	}
+	fli.Done(0)
+	fli.Done(0)
+	if busy := tab.Poll("oslo").Request().GetBusy(); len(busy) != 0 {
+		t.Errorf("the poll reports %v after the end of the request", busy)
+	}
+}
+
+// TestMoveWait guards against a refusal during a planned move, and against a wait that never ends.
+func TestMoveWait(t *testing.T) {
+	tab, clo := newTable(fptable.Config{MaxWaiting: 1})
+	apply(t, tab, whole(1, "one"))
+	pla, _ := tab.Locate("demo.Stock", []byte("a"), "")
+	apply(t, tab, answer(2, false, releasing(owned(pla.Slot, "one", 1))))
+	owner := make(chan string, 1)
+	go func() {
+		fli, err := route(tab, clo, "a")
+		if err != nil {
+			owner <- err.Error()
+			return
+		}
+		owner <- fli.Owner()
+	}()
+	time.Sleep(20 * time.Millisecond)
+	if _, err := route(tab, clo, "a"); !fperror.Is(err, fperror.NoOwner) {
+		t.Errorf("more requests wait than allowed: %v", err)
+	}
+	apply(t, tab, answer(3, false, owned(pla.Slot, "two", 2)))
+	if got := <-owner; got != "two" {
+		t.Errorf("the request that waited got %s", got)
+	}
+}
+
+// TestSplitTakesFlights guards against a split key that is moved past its requests in flight, which began while the key
+// belonged to its slot.
+func TestSplitTakesFlights(t *testing.T) {
+	tab, clo := newTable(fptable.Config{MoveWait: time.Nanosecond})
+	apply(t, tab, whole(1, "one"))
+	fli, _ := route(tab, clo, "a")
+	other, _ := route(tab, clo, "b")
+	split := releasing(owned(fli.Place().Slot, "one", 2))
+	split.SplitKey = []byte("a")
+	apply(t, tab, answer(2, false, split))
+	if busy := tab.Poll("oslo").Request().GetBusy(); len(busy) != 1 || string(busy[0].GetSplitKey()) != "a" {
+		t.Fatalf("the poll reports %v", busy)
+	}
+	if other.Check() != nil {
+		t.Error("another key of the slot is held up")
+	}
+	split.Removed = true
+	apply(t, tab, answer(3, false, split))
+	apply(t, tab, answer(4, false, releasing(owned(fli.Place().Slot, "one", 3))))
+	if busy := tab.Poll("oslo").Request().GetBusy(); len(busy) != 1 {
+		t.Errorf("the poll reports %v after the merge", busy)
+	}
+	fli.Done(0)
+	if busy := tab.Poll("oslo").Request().GetBusy(); len(busy) != 0 && fli.Place().Slot != other.Place().Slot {
+		t.Errorf("the poll reports %v after the end of the request", busy)
+	}
+}
+
+// TestHotKey guards against a hot key that is missed, or named with a count that it did not reach.
+func TestHotKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab, clo := newTable(fptable.Config{})
+		pol := tab.Poll("oslo")
+		if _, err := tab.Apply(pol, whole(1, "one")); err != nil {
+			t.Fatal(err)
+		}
+		counts, total := map[string]uint64{}, map[uint32]uint64{}
+		slots := map[string]uint32{}
+		for _, key := range rapid.SliceOfN(rapid.SampledFrom(keys()), 1, 200).Draw(t, "keys") {
+			fli, err := route(tab, clo, key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fli.Done(time.Millisecond)
+			counts[key]++
+			total[fli.Place().Slot]++
+			slots[key] = fli.Place().Slot
+		}
+		clo.advance(3 * time.Second)
+		hot := map[uint32]string{}
+		for _, loa := range tab.Poll("oslo").Request().GetLoad() {
+			if loa.GetRequests() != total[loa.GetNumber()] || loa.GetBusy().AsDuration() != time.Duration(loa.GetRequests())*time.Millisecond {
+				t.Fatalf("slot %d reports %v", loa.GetNumber(), loa)
+			}
+			hot[loa.GetNumber()] = string(loa.GetHotKey())
+			if loa.GetHotRequests() > counts[string(loa.GetHotKey())] {
+				t.Fatalf("the hot key %s had %d requests, not %d", loa.GetHotKey(), counts[string(loa.GetHotKey())], loa.GetHotRequests())
+			}
+		}
+		for key, num := range counts {
+			if num*3 > total[slots[key]]*2 && hot[slots[key]] != key {
+				t.Fatalf("%s had %d of %d requests, but the hot key is %q", key, num, total[slots[key]], hot[slots[key]])
+			}
+		}
+	})
+}
+
+func keys() []string {
+	all := make([]string, 0, 60)
+	for num := range 50 {
+		all = append(all, fmt.Sprintf("key-%d", num))
+	}
+	for range 10 {
+		all = append(all, "hot")
+	}
+	return all
+}
+
+func ExampleTable_Locate() {
+	tab := fptable.New(fptable.Config{})
+	tab.Configure([]*fpoperator.Service{{
+		Name:  "demo.Stock",
+		Homes: []*fpoperator.Home{{Group: "oslo", LastSlot: 4095}},
+	}})
+	pla, err := tab.Locate("demo.Stock", []byte("a"), "")
+	fmt.Println(pla.Group, pla.Slot, err)
+	// Output: oslo 3675 <nil>
+}
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -10,6 +11,9 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
 
+// errNoAnswer marks a connection that was opened but brought no answer to the first request.
+var errNoAnswer = errors.New("no answer on a new connection")
+
 // Conn is one connection to an upstream with a reservation for one request.
 type Conn struct {
 	pool   *Pool
@@ -49,7 +53,7 @@
 	defer cancel()
 	http1 := poo.http1.Load()
 	con, err := poo.connectWith(ctx, http1)
-	if err == nil || http1 || ctx.Err() != nil {
+	if http1 || ctx.Err() != nil || !errors.Is(err, errNoAnswer) {
 		return con, err
 	}
 	con, errHTTP1 := poo.connectWith(ctx, true)
@@ -75,7 +79,7 @@
 	}
 	if err := con.probe(ctx); err != nil {
 		_ = cli.Close()
-		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s: no answer", poo.upstream.GetName())
+		return nil, fperror.Wrap(fperror.ConnectFailed, errors.Join(errNoAnswer, err), "connect to %s", poo.upstream.GetName())
 	}
 	return con, nil
 }
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -70,7 +70,7 @@
 // Reserve returns a connection with a reservation for one request. When all connections are full it opens another one,
 // up to the limit, and otherwise waits. Its error is of the kind ConnectFailed: nothing was sent.
 func (poo *Pool) Reserve(ctx context.Context) (*Conn, error) {
-	con, changed, err := poo.take(ctx, false)
+	con, _, err := poo.take(ctx)
 	if con != nil || err != nil {
 		return con, err
 	}
@@ -78,13 +78,12 @@
 	defer poo.waiting.Add(-1)
 	for {
 		// The pool is looked at again after the caller is counted as waiting, so that no change is missed.
-		con, next, err := poo.take(ctx, changed != nil)
+		con, changed, err := poo.take(ctx)
 		if con != nil || err != nil {
 			return con, err
 		}
 		select {
-		case <-next:
-			changed = next
+		case <-changed:
 		case <-ctx.Done():
 			return nil, fperror.Wrap(fperror.ConnectFailed, ctx.Err(), "no connection to %s in time", poo.upstream.GetName())
 		}
@@ -92,8 +91,8 @@
 }
 
 // take reserves a place on the least used connection. Without one it returns a channel to wait on. When no connection is
-// open or being opened and the latest attempt failed, it returns that failure.
-func (poo *Pool) take(ctx context.Context, waited bool) (*Conn, chan struct{}, error) {
+// open and the latest attempt failed, it returns that failure at once, while keep goes on trying.
+func (poo *Pool) take(ctx context.Context) (*Conn, <-chan struct{}, error) {
 	poo.mutex.Lock()
 	defer poo.mutex.Unlock()
 	if poo.retired.Load() {
@@ -102,8 +101,7 @@
 	if con := poo.leastUsed(); con != nil {
 		return con, nil, nil
 	}
-	recent := poo.failure != nil && time.Since(poo.failed) < dialPause
-	if len(poo.conns) == 0 && poo.opening == 0 && (waited && poo.failure != nil || recent) {
+	if len(poo.conns) == 0 && poo.failure != nil {
 		return nil, nil, poo.failure
 	}
 	if poo.begin(poo.most()) {
--- /dev/null
+++ b/internal/upstream/fpconn/pools_test.go
@@ -0,0 +1,298 @@
+package fpconn_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
+)
+
+// wire passes bytes between the pools and an upstream. It can silence its open connections for good while new ones work.
+type wire struct {
+	net.Listener
+	mutex sync.Mutex
+	stop  []chan struct{} // one for each connection, closed to silence it
+}
+
+func newWire(t *testing.T, upstream string) *wire {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	wir := &wire{Listener: lis}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			near, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", upstream)
+			if err != nil {
+				return
+			}
+			stop := make(chan struct{})
+			wir.mutex.Lock()
+			wir.stop = append(wir.stop, stop)
+			wir.mutex.Unlock()
+			go pump(near, far, stop)
+			go pump(far, near, stop)
+		}
+	}()
+	return wir
+}
+
+// pump copies until the connection is silenced; it then drops bytes without closing.
+func pump(to, from net.Conn, stop chan struct{}) {
+	buf := make([]byte, 4096)
+	for {
+		num, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		select {
+		case <-stop:
+		default:
+			_, _ = to.Write(buf[:num])
+		}
+	}
+}
+
+func (wir *wire) silence() {
+	wir.mutex.Lock()
+	defer wir.mutex.Unlock()
+	for _, stop := range wir.stop {
+		close(stop)
+	}
+	wir.stop = nil
+}
+
+func newUpstream(t *testing.T, http2 bool, handler http.HandlerFunc) *httptest.Server {
+	ser := httptest.NewUnstartedServer(handler)
+	var pro http.Protocols
+	pro.SetHTTP1(true)
+	pro.SetUnencryptedHTTP2(http2)
+	ser.Config.Protocols = &pro
+	ser.Start()
+	t.Cleanup(ser.Close)
+	return ser
+}
+
+func newPools(t *testing.T, cfg fpconn.Config) *fpconn.Pools {
+	pos := fpconn.New(cfg)
+	t.Cleanup(pos.Close)
+	return pos
+}
+
+func get(ctx context.Context, poo *fpconn.Pool) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/", nil)
+	if err != nil {
+		return err
+	}
+	res, err := poo.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// TestSilentConnections guards against open connections that go silent for good and are used for more than 2 s. Over
+// HTTP/2 a request is in flight on them; over HTTP/1.1 they are idle, because only the kernel can find the silence of one
+// with a request in flight, and this test cannot drop its packets.
+func TestSilentConnections(t *testing.T) {
+	for name, http2 := range map[string]bool{"http2": true, "http1": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var slow atomic.Bool
+			ups := newUpstream(t, http2, func(_ http.ResponseWriter, req *http.Request) {
+				if slow.Load() && req.URL.Path == "/" {
+					<-req.Context().Done()
+				}
+			})
+			wir := newWire(t, ups.Listener.Addr().String())
+			poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: wir.Addr().String()})
+			waitFor(t, "connections ahead of need", func() bool { return poo.Len() >= 2 })
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			slow.Store(true)
+			lost := make(chan error, 1)
+			if http2 {
+				go func() { lost <- get(ctx, poo) }()
+				time.Sleep(50 * time.Millisecond)
+			}
+			wir.silence()
+			start := time.Now()
+			if http2 {
+				if err := <-lost; err == nil {
+					t.Error("a request on a silent connection succeeded")
+				}
+			}
+			if !http2 {
+				time.Sleep(1600 * time.Millisecond)
+			}
+			slow.Store(false)
+			for get(ctx, poo) != nil && ctx.Err() == nil {
+			}
+			if took := time.Since(start); took > 2*time.Second {
+				t.Errorf("a silent connection was replaced after %v", took)
+			}
+		})
+	}
+}
+
+// TestNeverSentTwice guards against a request that the HTTP library sends again by itself because it carries an
+// Idempotency-Key.
+func TestNeverSentTwice(t *testing.T) {
+	for name, http2 := range map[string]bool{"http2": true, "http1": false} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			ups := newUpstream(t, http2, func(_ http.ResponseWriter, req *http.Request) {
+				if req.URL.Path == "/" {
+					runs.Add(1)
+					panic(http.ErrAbortHandler)
+				}
+			})
+			poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
+			con, err := poo.Reserve(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			req := &http.Request{
+				Method:  http.MethodPost,
+				URL:     &url.URL{Scheme: "http", Host: "upstream", Path: "/"},
+				Header:  http.Header{"Idempotency-Key": {"k"}},
+				GetBody: func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(nil)), nil },
+			}
+			if res, err := con.RoundTrip(req); err == nil {
+				_ = res.Body.Close()
+				t.Error("an answer came without a handler that gave one")
+			}
+			if num := runs.Load(); num != 1 {
+				t.Errorf("the request ran %d times", num)
+			}
+		})
+	}
+}
+
+// TestBound guards against more connections to an upstream than it accepts.
+func TestBound(t *testing.T) {
+	var open, most atomic.Int64
+	ups := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		time.Sleep(10 * time.Millisecond)
+	}))
+	t.Cleanup(ups.Close)
+	ups.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			if num := open.Add(1); num > most.Load() {
+				most.Store(num)
+			}
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	ups.Start()
+	poo := newPools(t, fpconn.Config{
+		Limit: func(*fpcontract.Upstream) int { return 3 },
+	}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
+	waitFor(t, "a connection of HTTP/1.1", func() bool { return get(t.Context(), poo) == nil })
+	most.Store(open.Load())
+	var gro sync.WaitGroup
+	for range 50 {
+		gro.Go(func() {
+			if err := get(t.Context(), poo); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	gro.Wait()
+	if num := most.Load(); num > 3 {
+		t.Errorf("%d connections were open", num)
+	}
+}
+
+// TestRefusedConnection guards against a failure to connect that does not say that nothing was sent, or comes late.
+func TestRefusedConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = lis.Close()
+	poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
+	start := time.Now()
+	_, err = poo.Reserve(t.Context())
+	if !fperror.Is(err, fperror.ConnectFailed) || time.Since(start) > 500*time.Millisecond {
+		t.Errorf("got %v after %v", err, time.Since(start))
+	}
+}
+
+// TestFrozenUpstream guards against a connection that is put into service though nobody reads it.
+func TestFrozenUpstream(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	poo := newPools(t, fpconn.Config{ConnectTimeout: 200 * time.Millisecond}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
+	if _, err = poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestUpdate guards against connections to an upstream that left or restarted, and against requests that are cut off.
+func TestUpdate(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	ups := newUpstream(t, true, func(_ http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/" {
+			close(begun)
+			<-finish
+		}
+	})
+	pos := newPools(t, fpconn.Config{})
+	msg := &fpcontract.Upstream{Name: "one", Incarnation: 1, Address: ups.Listener.Addr().String()}
+	pos.Update([]*fpcontract.Upstream{msg})
+	poo := pos.Pool(msg)
+	ended := make(chan error, 1)
+	go func() { ended <- get(t.Context(), poo) }()
+	<-begun
+	pos.Update(nil)
+	if _, err := poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+		t.Errorf("a pool that was closed gave a connection: %v", err)
+	}
+	close(finish)
+	if err := <-ended; err != nil {
+		t.Errorf("a request in flight was cut off: %v", err)
+	}
+	next := &fpcontract.Upstream{Name: "one", Incarnation: 2, Address: msg.Address}
+	pos.Update([]*fpcontract.Upstream{next})
+	pos.Update([]*fpcontract.Upstream{msg})
+	if pos.Pool(next) == poo {
+		t.Error("the pool of an earlier incarnation is in use")
+	}
+}
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -4,8 +4,18 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// keepAlive finds a silent connection of HTTP/1.1 with a request in flight, where the wait for an answer cannot be told
+// from silence in any other way. Its times are whole seconds: one second of silence and one for the answer to the probe.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     time.Second,
+	Interval: time.Second,
+	Count:    1,
+}
+
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // socket notes whether the peer ended the connection. A connection that this side closes, for example because a ping got
@@ -34,7 +44,9 @@
 // dialInto opens a TCP connection and stores it.
 func dialInto(into *atomic.Pointer[socket]) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		var dia net.Dialer
+		dia := net.Dialer{
+			KeepAliveConfig: keepAlive,
+		}
 		con, err := dia.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
