--- /dev/null
+++ b/api/upstream/fpfence/fence_test.go
@@ -0,0 +1,319 @@
+package fpfence
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fpclock"
+)
+
+// upstream is a fence before a handler that runs until it is let go or cancelled.
+type upstream struct {
+	*Fence
+	handler  http.Handler
+	client   fpcontractconnect.UpstreamServiceClient
+	mono     time.Duration
+	wall     time.Time
+	runs     int
+	canceled chan struct{}
+	began    chan struct{}
+	hold     bool // the handler runs until it is cancelled
+	stubborn time.Duration
+}
+
+func newUpstream(t *testing.T) *upstream {
+	ups := &upstream{
+		wall:     time.Unix(1_800_000_000, 0),
+		canceled: make(chan struct{}, 8),
+		began:    make(chan struct{}, 8),
+	}
+	ups.Fence = New(Config{
+		Name:        "stock-1",
+		Incarnation: 7,
+		Service:     "demo.Stock",
+		Keyed:       true,
+		now:         func() fpclock.Moment { return fpclock.At(ups.mono, ups.wall) },
+	})
+	ups.handler = ups.Handler(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		ups.runs++
+		if !ups.hold {
+			return
+		}
+		ups.began <- struct{}{}
+		<-req.Context().Done()
+		time.Sleep(ups.stubborn)
+		ups.canceled <- struct{}{}
+	}))
+	mux := http.NewServeMux()
+	mux.Handle(ups.Service())
+	ser := httptest.NewServer(mux)
+	t.Cleanup(ser.Close)
+	ups.client = fpcontractconnect.NewUpstreamServiceClient(ser.Client(), ser.URL)
+	return ups
+}
+
+func (ups *upstream) advance(dur time.Duration) {
+	ups.mono += dur
+	ups.wall = ups.wall.Add(dur)
+}
+
+func (ups *upstream) grant(t *testing.T, req *fpcontract.GrantRequest) *fpcontract.GrantResponse {
+	t.Helper()
+	req.Group = "oslo"
+	if req.Incarnation == 0 {
+		req.Incarnation = 7
+	}
+	if req.Lease == nil {
+		req.Lease = durationpb.New(time.Second)
+	}
+	res, err := ups.client.Grant(t.Context(), connect.NewRequest(req))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.Msg
+}
+
+func slots(epoch uint64, numbers ...uint32) []*fpcontract.Slot {
+	var all []*fpcontract.Slot
+	for _, num := range numbers {
+		all = append(all, &fpcontract.Slot{Service: "demo.Stock", Number: num, Epoch: epoch})
+	}
+	return all
+}
+
+// send returns whether the upstream refused the request.
+func (ups *upstream) send(ctx context.Context, id string, number int, epoch int) (refused bool) {
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "/demo.Stock/Get", nil)
+	req.Header.Set("Content-Type", "application/proto")
+	req.Header.Set("Foxtailpulley-Request", id)
+	req.Header.Set("Foxtailpulley-Group", "oslo")
+	req.Header.Set("Foxtailpulley-Slot", strconv.Itoa(number))
+	req.Header.Set("Foxtailpulley-Epoch", strconv.Itoa(epoch))
+	rec := httptest.NewRecorder()
+	before := ups.runs
+	ups.handler.ServeHTTP(rec, req)
+	refused = rec.Header().Get("Foxtailpulley-Refused") == "fence"
+	if refused && ups.runs != before || refused == (rec.Code == http.StatusOK) {
+		panic("a refused request ran, or an admitted one failed")
+	}
+	return refused
+}
+
+// TestFence guards against a request that runs without a grant, with another epoch, or after the lease.
+func TestFence(t *testing.T) {
+	ups := newUpstream(t)
+	if !ups.send(t.Context(), "a", 3, 5) {
+		t.Error("a request ran without a grant")
+	}
+	res := ups.grant(t, &fpcontract.GrantRequest{Term: 1})
+	if !res.Accepted || res.Term != 1 || !ups.send(t.Context(), "b", 3, 5) {
+		t.Errorf("a grant without echo gave slots: %v", res)
+	}
+	res = ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: res.Token, Version: 1, Added: slots(5, 3)})
+	if !res.Accepted || res.Version != 1 || ups.Slots() != 1 {
+		t.Fatalf("the grant was refused: %v", res)
+	}
+	for name, refused := range map[string]bool{
+		"granted":      ups.send(t.Context(), "c", 3, 5),
+		"other epoch":  !ups.send(t.Context(), "d", 3, 4),
+		"other slot":   !ups.send(t.Context(), "e", 4, 5),
+		"later epoch":  !ups.send(t.Context(), "f", 3, 6),
+		"missing slot": !ups.send(t.Context(), "g", -1, 5),
+	} {
+		if refused {
+			t.Errorf("%s: the fence decided wrongly", name)
+		}
+	}
+	ups.advance(time.Second)
+	if !ups.send(t.Context(), "h", 3, 5) || ups.Slots() != 0 {
+		t.Error("a request ran after the lease")
+	}
+}
+
+// TestLeaseCountsFromToken guards against a lease that a delayed or repeated grant extends.
+func TestLeaseCountsFromToken(t *testing.T) {
+	ups := newUpstream(t)
+	first := ups.grant(t, &fpcontract.GrantRequest{Term: 1})
+	grant := &fpcontract.GrantRequest{Term: 1, Echo: first.Token, Version: 1, Added: slots(5, 3)}
+	ups.advance(1200 * time.Millisecond)
+	second := ups.grant(t, grant)
+	if !ups.send(t.Context(), "a", 3, 5) {
+		t.Error("a grant that came later than its lease was alive on arrival")
+	}
+	grant.Echo = second.Token
+	ups.grant(t, grant)
+	if ups.send(t.Context(), "b", 3, 5) {
+		t.Error("a grant with a fresh token was refused")
+	}
+	ups.advance(700 * time.Millisecond)
+	ups.grant(t, grant)
+	ups.advance(700 * time.Millisecond)
+	if !ups.send(t.Context(), "c", 3, 5) {
+		t.Error("the same token extended the lease")
+	}
+	grant.Echo = 1 << 40
+	if res := ups.grant(t, grant); res.Accepted {
+		t.Error("a token that was never issued was taken")
+	}
+}
+
+// TestWallClock guards against a lease that survives a pause in which the monotonic clock stood still.
+func TestWallClock(t *testing.T) {
+	ups := newUpstream(t)
+	res := ups.grant(t, &fpcontract.GrantRequest{Term: 1})
+	ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: res.Token, Version: 1, Added: slots(5, 3)})
+	ups.wall = ups.wall.Add(2 * time.Second)
+	if !ups.send(t.Context(), "a", 3, 5) {
+		t.Error("a request ran after a pause longer than the lease")
+	}
+}
+
+// TestPause guards against a process that was stopped and goes on with its lease.
+func TestPause(t *testing.T) {
+	ups := newUpstream(t)
+	res := ups.grant(t, &fpcontract.GrantRequest{Term: 1})
+	grant := &fpcontract.GrantRequest{Term: 1, Echo: res.Token, Version: 1, Added: slots(5, 3)}
+	grant.Lease = durationpb.New(10 * time.Second)
+	ups.grant(t, grant)
+	ups.watch()
+	ups.advance(2 * time.Second)
+	if !ups.send(t.Context(), "a", 3, 5) {
+		t.Error("a request ran right after a pause")
+	}
+	ups.watch()
+	if !ups.send(t.Context(), "b", 3, 5) {
+		t.Error("the lease survived a pause")
+	}
+}
+
+// TestGrantOrder guards against grants of replaced leaders, of another incarnation, against another base, or repeated out
+// of order.
+func TestGrantOrder(t *testing.T) {
+	ups := newUpstream(t)
+	token := ups.grant(t, &fpcontract.GrantRequest{Term: 2}).Token
+	token = ups.grant(t, &fpcontract.GrantRequest{Term: 2, Echo: token, Version: 4, Added: slots(5, 3)}).Token
+	for name, req := range map[string]*fpcontract.GrantRequest{
+		"lower term":        {Term: 1, Version: 9, Added: slots(9, 4)},
+		"other incarnation": {Term: 3, Version: 9, Incarnation: 6, Added: slots(9, 4)},
+		"other base":        {Term: 2, Base: 3, Version: 9, Added: slots(9, 4)},
+		"older set":         {Term: 2, Version: 3, Added: slots(9, 4)},
+	} {
+		req.Echo = token
+		if res := ups.grant(t, req); res.Accepted || res.Version != 4 || res.Term != 2 {
+			t.Errorf("%s: %v", name, res)
+		}
+	}
+	if res := ups.grant(t, &fpcontract.GrantRequest{Term: 3, Echo: token, Base: 4, Version: 1, Added: slots(6, 4), Removed: slots(0, 3)}); !res.Accepted {
+		t.Errorf("the change of a new leader was refused: %v", res)
+	}
+	if !ups.send(t.Context(), "a", 3, 5) || ups.send(t.Context(), "b", 4, 6) {
+		t.Error("the change is not in force")
+	}
+}
+
+// TestRemovalWaits guards against a slot that is confirmed as released while a request for it still runs.
+func TestRemovalWaits(t *testing.T) {
+	ups := newUpstream(t)
+	ups.hold = true
+	ups.stubborn = 50 * time.Millisecond
+	token := ups.grant(t, &fpcontract.GrantRequest{Term: 1}).Token
+	token = ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: token, Version: 1, Added: slots(5, 3)}).Token
+	go ups.send(context.Background(), "a", 3, 5)
+	<-ups.began
+	ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: token, Base: 1, Version: 2, Removed: slots(5, 3)})
+	select {
+	case <-ups.canceled:
+	default:
+		t.Error("the release was confirmed while a request ran")
+	}
+}
+
+// TestLeaseEndCancels guards against a request that runs on after the lease.
+func TestLeaseEndCancels(t *testing.T) {
+	ups := newUpstream(t)
+	ups.hold = true
+	token := ups.grant(t, &fpcontract.GrantRequest{Term: 1}).Token
+	ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: token, Version: 1, Added: slots(5, 3)})
+	go ups.send(context.Background(), "a", 3, 5)
+	<-ups.began
+	ups.watch()
+	ups.advance(450 * time.Millisecond)
+	ups.watch()
+	select {
+	case <-ups.canceled:
+		t.Error("a request was cancelled within the lease")
+	case <-time.After(20 * time.Millisecond):
+	}
+	ups.advance(450 * time.Millisecond) // the margin before the end of the lease
+	ups.watch()
+	select {
+	case <-ups.canceled:
+	case <-time.After(time.Second):
+		t.Error("a request ran on after its lease")
+	}
+}
+
+// TestCancel guards against a cancellation that returns before the request has stopped, and against a cancelled request
+// that comes late and runs.
+func TestCancel(t *testing.T) {
+	ups := newUpstream(t)
+	ups.hold = true
+	ups.stubborn = 50 * time.Millisecond
+	token := ups.grant(t, &fpcontract.GrantRequest{Term: 1}).Token
+	ups.grant(t, &fpcontract.GrantRequest{Term: 1, Echo: token, Version: 1, Added: slots(5, 3)})
+	go ups.send(context.Background(), "a", 3, 5)
+	<-ups.began
+	cancel := func(id string) bool {
+		res, err := ups.client.Cancel(t.Context(), connect.NewRequest(&fpcontract.CancelRequest{RequestId: id}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.Msg.Known
+	}
+	if !cancel("a") || len(ups.canceled) != 1 {
+		t.Error("the cancellation returned while the request ran")
+	}
+	if !cancel("a") {
+		t.Error("a request that had ended is not known")
+	}
+	if cancel("late") || !ups.send(t.Context(), "late", 3, 5) {
+		t.Error("a request that was cancelled before it came ran")
+	}
+}
+
+// TestAnnounce guards against announcements that stop when an entry VM fails, or that carry the same token.
+func TestAnnounce(t *testing.T) {
+	got := make(chan *fpcontract.AnnounceRequest, 8)
+	_, handler := fpcontractconnect.NewRouterServiceHandler(announced(got))
+	ser := httptest.NewServer(handler)
+	defer ser.Close()
+	fen := New(Config{Name: "stock-1", Routers: []string{"http://127.0.0.1:1", ser.URL}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := fen.Run(ctx)
+	first := <-got
+	fen.Drain()
+	second := <-got
+	if first.Token == second.Token || first.Upstream.Draining || !second.Upstream.Draining || !first.Upstream.ChecksFence {
+		t.Errorf("got %v, then %v", first, second)
+	}
+	cancel()
+	if err := <-done; err != context.Canceled {
+		t.Errorf("Run ended with %v", err)
+	}
+}
+
+type announced chan *fpcontract.AnnounceRequest
+
+func (ann announced) Announce(_ context.Context, req *connect.Request[fpcontract.AnnounceRequest]) (*connect.Response[fpcontract.AnnounceResponse], error) {
+	ann <- req.Msg
+	return connect.NewResponse(&fpcontract.AnnounceResponse{RetryAfter: durationpb.New(10 * time.Millisecond)}), nil
+}
