fpserve: release the claim of a request that was never sent

Cause: a claimed call whose caller left before the forward was settled as unknown, so every resend was refused though nothing had run. The outcome was taken from the table of error kinds, which cannot know whether an attempt was sent. Change: only an attempt that was sent marks the call as one that may have run.

--- a/internal/route/fpserve/accept.go
+++ b/internal/route/fpserve/accept.go
@@ -92,7 +92,11 @@
 	if err != nil {
 		return err
 	}
-	_ = con.SetReadDeadline(time.Time{})
+	if bod.rest != nil {
+		// An upstream may answer before it has read the whole body.
+		_ = con.EnableFullDuplex()
+		_ = con.SetReadDeadline(time.Time{})
+	}
 	cal.body = bod
 	encoding := req.Header.Get(cal.protocol.encoding())
 	if cal.method.Keyed() && encoding != "" && encoding != "identity" && encoding != "gzip" {
--- a/internal/route/fpserve/answer.go
+++ b/internal/route/fpserve/answer.go
@@ -46,7 +46,7 @@
 	}
 	if err := ans.checkHead(); err != nil {
 		att.end(Result{Err: err})
-		return 0, err
+		return 0, att.mayHaveRun(err)
 	}
 	if err := ans.take(); err != nil {
 		return 0, att.lost(err)
@@ -173,7 +173,7 @@
 	if rec.Omitted {
 		return rec
 	}
-	rec.Body = body
+	rec.Body = bytes.Clone(body) // the buffer is used again, while the record may be kept for long
 	rec.Header = recordHeader(ans.res.Header)
 	rec.Trailer = recordHeader(ans.res.Trailer)
 	return rec
--- a/internal/route/fpserve/bundle_test.go
+++ b/internal/route/fpserve/bundle_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -150,3 +151,27 @@
 	}
 	return len(buf), nil
 }
+
+// TestCallerDoesNotRead guards against a caller that holds its place on the upstream beyond its deadline.
+func TestCallerDoesNotRead(t *testing.T) {
+	sta := newStandin(t, "one")
+	rou := newRouter(t, nil, sta)
+	con, err := net.Dial("tcp", rou.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	_, _ = io.WriteString(con, "POST /demo.Test/Bundle HTTP/1.1\r\nHost: x\r\nContent-Type: application/proto\r\n"+
+		"Content-Length: 0\r\nConnect-Timeout-Ms: 300\r\nX-Size: 1000000000\r\n\r\n")
+	time.Sleep(200 * time.Millisecond)
+	if rou.server.Running() != 1 {
+		t.Fatal("the call does not run")
+	}
+	for range 100 {
+		if rou.server.Running() == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("the call still runs after its deadline")
+}
--- a/internal/route/fpserve/claim.go
+++ b/internal/route/fpserve/claim.go
@@ -113,13 +113,14 @@
 	return err
 }
 
-// settleError settles a held claim after a call that failed. A request that certainly did not run releases its claim.
-func (exc *exchange) settleError(err error) {
+// settleError settles a held claim after a call that failed. A request that was never sent, or was refused by the
+// upstream, releases its claim.
+func (exc *exchange) settleError() {
 	if !exc.claim.held {
 		return
 	}
 	out := fpwire.Outcome_OUTCOME_UNKNOWN
-	if exc.maybe == nil && fperror.KindOf(err).Answer().Outcome() == fperror.NotRun {
+	if exc.maybe == nil {
 		out = fpwire.Outcome_OUTCOME_NOT_RUN
 	}
 	_ = exc.settle(&fpwire.Settle{
--- a/internal/route/fpserve/exchange.go
+++ b/internal/route/fpserve/exchange.go
@@ -18,7 +18,7 @@
 	req *http.Request
 
 	claim   claim
-	maybe   error // first error after which the request may have run
+	maybe   error // first error of an attempt that was sent and may have run
 	final   bool  // no further attempt may be made
 	started bool  // the answer has begun to go to the caller
 	answer  *answer
@@ -29,7 +29,7 @@
 	err := exc.attempts()
 	if err != nil {
 		err = exc.worst(err)
-		exc.settleError(err)
+		exc.settleError()
 	}
 	switch {
 	case err == nil:
@@ -49,9 +49,6 @@
 			exc.succeeded()
 			return nil
 		}
-		if fperror.KindOf(err).Answer().Outcome() != fperror.NotRun && exc.maybe == nil {
-			exc.maybe = err
-		}
 		if !exc.mayRetry(err) {
 			return err
 		}
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -24,6 +24,14 @@
 	}
 	att.cancel()
 	att.abandon(err)
+	return att.mayHaveRun(err)
+}
+
+// mayHaveRun notes that the request may have run.
+func (att *attempt) mayHaveRun(err error) error {
+	if att.exc.maybe == nil {
+		att.exc.maybe = err
+	}
 	return err
 }
 
@@ -68,7 +76,8 @@
 	})
 }
 
-// cancelUpstream reports whether the upstream confirmed that the request no longer runs.
+// cancelUpstream reports whether the upstream confirmed that the request no longer runs. A request that the upstream does not
+// know may still be on its way over a slow connection.
 func (att *attempt) cancelUpstream() bool {
 	ser := att.exc.ser
 	ctx, cancel := context.WithTimeout(ser.ctx, cancelTimeout)
@@ -77,14 +86,14 @@
 		ser.cfg.Pools.Pool(att.target.Upstream),
 		"http://"+att.target.Upstream.GetAddress(),
 	)
-	_, err := cli.Cancel(ctx, connect.NewRequest(&fpcontract.CancelRequest{
+	res, err := cli.Cancel(ctx, connect.NewRequest(&fpcontract.CancelRequest{
 		RequestId: att.id,
 	}))
-	if err != nil {
+	if err != nil || !res.Msg.GetKnown() {
 		ser.cfg.Count("cancelFailed")
 		return false
 	}
-	ser.cfg.Count("cancelled")
+	ser.cfg.Count("canceled")
 	return true
 }
 
--- a/internal/route/fpserve/once_test.go
+++ b/internal/route/fpserve/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 )
@@ -223,6 +225,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		for range 20 { // the buffer of the first answer is used again
+			_, _ = call(rou, newCaller(t, true), "/demo.Test/Idem", "other", "", opts...)
+		}
 		second, err := call(rou, newCaller(t, true), "/demo.Test/Once", name, key, opts...)
 		if err != nil || !proto.Equal(first.Msg, second.Msg) || second.Trailer().Get("X-Trailer") != name {
 			t.Errorf("%s: the resend got %v, %v", name, second, err)
@@ -244,3 +249,28 @@
 	defer cla.mutex.Unlock()
 	cla.fault = fau
 }
+
+// TestCallerLeavesBeforeForward guards against a claim that stays held though the request was never sent.
+func TestCallerLeavesBeforeForward(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0") // takes connections, but never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	rou := newRouter(t, nil, &standin{upstream: &fpcontract.Upstream{Name: "frozen", Address: lis.Addr().String()}})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	req := connect.NewRequest(&text{RequestId: "x"})
+	req.Header().Set("Idempotency-Key", newKey(t))
+	_, _ = connect.NewClient[text, text](newCaller(t, true), rou.URL+"/demo.Test/Once").CallUnary(ctx, req)
+	for range 100 {
+		rou.claims.mutex.Lock()
+		held := len(rou.claims.all)
+		rou.claims.mutex.Unlock()
+		if rou.server.Running() == 0 && held == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("the claim of a request that was never sent is still held")
+}
--- a/internal/route/fpserve/stream.go
+++ b/internal/route/fpserve/stream.go
@@ -29,6 +29,8 @@
 		exc.wri.Header()["Content-Length"] = []string{strconv.FormatInt(ans.res.ContentLength, 10)}
 	}
 	exc.setOutcome(ans)
+	// A caller that does not read must not hold the upstream's place beyond its deadline.
+	_ = http.NewResponseController(exc.wri).SetWriteDeadline(exc.cal.deadline)
 	exc.wri.WriteHeader(ans.res.StatusCode)
 	if err := ans.pass(head); err != nil {
 		return err
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -1,7 +1,6 @@
 package fpconn_test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -179,18 +178,11 @@
 				}
 			})
 			poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
-			con, err := poo.Reserve(t.Context())
-			if err != nil {
+			// net/http sends again only over connections that have carried a request before.
+			if err := post(t, poo, "/before"); err != nil {
 				t.Fatal(err)
 			}
-			req := &http.Request{
-				Method:  http.MethodPost,
-				URL:     &url.URL{Scheme: "http", Host: "upstream", Path: "/"},
-				Header:  http.Header{"Idempotency-Key": {"k"}},
-				GetBody: func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(nil)), nil },
-			}
-			if res, err := con.RoundTrip(req); err == nil {
-				_ = res.Body.Close()
+			if post(t, poo, "/") == nil {
 				t.Error("an answer came without a handler that gave one")
 			}
 			if num := runs.Load(); num != 1 {
@@ -200,6 +192,26 @@
 	}
 }
 
+// post sends a request that net/http takes for one that may be sent again.
+func post(t *testing.T, poo *fpconn.Pool, path string) error {
+	con, err := poo.Reserve(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := con.RoundTrip(&http.Request{
+		Method:  http.MethodPost,
+		URL:     &url.URL{Scheme: "http", Host: "upstream", Path: path},
+		Header:  http.Header{"Idempotency-Key": {"k"}},
+		Body:    http.NoBody,
+		GetBody: func() (io.ReadCloser, error) { return http.NoBody, nil },
+	})
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.Body.Close()
+}
+
 // TestBound guards against more connections to an upstream than it accepts.
 func TestBound(t *testing.T) {
 	var open, most atomic.Int64
