--- /dev/null
+++ b/internal/config/fpconfig/config_test.go
@@ -0,0 +1,159 @@
+package fpconfig
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+func home(group string, first, last uint32) *fpoperator.Home {
+	return &fpoperator.Home{
+		Group:     group,
+		FirstSlot: first,
+		LastSlot:  last,
+	}
+}
+
+func service(name string, slots uint32, homes ...*fpoperator.Home) *fpoperator.Service {
+	return &fpoperator.Service{
+		Name:  name,
+		Slots: slots,
+		Homes: homes,
+	}
+}
+
+func config(services ...*fpoperator.Service) *fpoperator.Configuration {
+	return &fpoperator.Configuration{
+		Services: services,
+	}
+}
+
+// TestFaults guards against a fault that hides another: all are reported at once, each with its field.
+func TestFaults(t *testing.T) {
+	bad := service("a", 10, home("g", 0, 3), home("x", 3, 5), home("g", 7, 10), home("g", 8, 8))
+	bad.MinGain = math.NaN()
+	bad.HoldDown = durationpb.New(2 * time.Hour)
+	bad.MaxDeadline = durationpb.New(time.Millisecond)
+	next := config(bad, service("a", MaxSlots+1), service("", 1, home("g", 0, 0)))
+	next.ClaimRetention = &durationpb.Duration{Seconds: 1, Nanos: -1}
+	next.MaxClaims = MaxClaims + 1
+	next.RetryBudget = -0.1
+	next.DrainedUpstreams = []string{"u", "u"}
+	next.DrainedVms = []string{""}
+	val := Validator{
+		Groups: []string{"g"},
+		Schema: func(_ string, names []string) []Fault {
+			return []Fault{{
+				Field: "schema",
+				Value: fmt.Sprint(len(names)),
+			}}
+		},
+	}
+	var got []string
+	for _, fau := range val.Faults(nil, next) {
+		got = append(got, fau.Field)
+		if fau.Field != "schema" && (fau.Value == "" || fau.Accepted == "") {
+			t.Errorf("incomplete fault %v", fau)
+		}
+	}
+	want := []string{
+		"claimRetention", "maxClaims", "retryBudget", "drainedUpstreams[1]", "drainedVms[0]", "services[0].minGain",
+		"services[0].holdDown", "services[0].maxDeadline", "services[0].homes[1].group", "services[0].homes[2].lastSlot",
+		"services[0].homes[1].firstSlot", "services[0].homes", "services[0].homes", "services[1].name",
+		"services[1].slots", "services[1].homes", "services[2].name", "schema",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("faults of\n%v\nwant\n%v", got, want)
+	}
+	if err := AsError(val.Faults(nil, next)); !fperror.Is(err, fperror.InvalidConfiguration) {
+		t.Errorf("error %v", err)
+	}
+	good := config(service("a", 10, home("g", 4, 9), home("g", 0, 3)))
+	if list := (Validator{Groups: []string{"g"}}).Faults(nil, good); len(list) != 0 {
+		t.Errorf("faults of a good configuration: %v", list)
+	}
+}
+
+func configure(request string, expected Version, cfg *fpoperator.Configuration) *fpwire.Configure {
+	return &fpwire.Configure{
+		RequestId:     request,
+		Expected:      expected.Wire(),
+		Configuration: cfg,
+		Operator:      "op-" + request,
+	}
+}
+
+// TestState guards races of operators with equal expected versions, resends after a lost answer, and changes of slots and
+// homes, also through a removed service. Everything must outlive a restore.
+func TestState(t *testing.T) {
+	sta := &State{}
+	one := config(service("a", 10, home("g", 0, 9)))
+	first := Version{Term: 2, Index: 5}
+	check := func(name string, out Outcome, accepted Version, kind string) {
+		t.Helper()
+		if out.Accepted != accepted || out.Kind != kind {
+			t.Errorf("%s: %+v, want %+v %q", name, out, accepted, kind)
+		}
+	}
+	check("first", sta.Apply(first, configure("r1", Version{}, one)), first, "")
+	lost := sta.Apply(Version{Term: 2, Index: 6}, configure("r2", Version{}, one))
+	check("equal expected version", lost, Version{}, "versionConflict")
+	if !strings.Contains(lost.Message, `(2, 5) of operator "op-r1"`) {
+		t.Errorf("the conflict does not name the winner: %s", lost.Message)
+	}
+	check("same index of another term", sta.Apply(Version{Term: 3, Index: 5}, configure("r3", Version{Term: 1, Index: 5}, one)),
+		Version{}, "versionConflict")
+	second := Version{Term: 3, Index: 7}
+	check("removal", sta.Apply(second, configure("r4", first, config())), second, "")
+	data, err := sta.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sta = &State{}
+	if err := sta.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if again, _ := sta.Snapshot(); !bytes.Equal(again, data) {
+		t.Error("a restored state has another snapshot")
+	}
+	check("resend of the winner", sta.Apply(Version{Term: 3, Index: 8}, configure("r1", Version{}, one)), first, "")
+	check("resend of the loser", sta.Apply(Version{Term: 3, Index: 9}, configure("r2", second, one)), Version{}, "versionConflict")
+	check("other homes of a removed service", sta.Apply(Version{Term: 3, Index: 10},
+		configure("r5", second, config(service("a", 10, home("h", 0, 9))))), Version{}, "invalidConfiguration")
+	check("other slots of a removed service", sta.Apply(Version{Term: 3, Index: 11},
+		configure("r6", second, config(service("a", 11, home("g", 0, 10))))), Version{}, "invalidConfiguration")
+	third := Version{Term: 3, Index: 12}
+	check("the same again", sta.Apply(third, configure("r7", second, one)), third, "")
+	check("other homes", sta.Apply(Version{Term: 3, Index: 13},
+		configure("r8", third, config(service("a", 10, home("h", 0, 9))))), Version{}, "invalidConfiguration")
+	check("no request id", sta.Apply(Version{Term: 3, Index: 14}, configure("", third, one)), Version{}, "invalidRequest")
+	if sta.Version() != third || sta.Configuration() != one {
+		t.Errorf("version %+v", sta.Version())
+	}
+}
+
+// TestChangedHomes guards the commands by which a group learns which slots it homes.
+func TestChangedHomes(t *testing.T) {
+	old := config(service("a", 10, home("g", 0, 4), home("h", 5, 9)), service("b", 4, home("g", 0, 3)))
+	next := config(service("a", 10, home("g", 2, 4), home("g", 0, 1), home("h", 5, 9)), service("c", 4, home("g", 0, 3)))
+	var got []string
+	for _, set := range ChangedHomes(old, next, "g") {
+		got = append(got, fmt.Sprint(set.GetService(), len(set.GetHomes())))
+	}
+	if want := []string{"b0", "c1"}; !slices.Equal(got, want) {
+		t.Errorf("commands %v, want %v", got, want)
+	}
+	if HomeOf(next.GetServices()[0], 7) != "h" || HomeOf(next.GetServices()[0], 10) != "" {
+		t.Error("wrong home")
+	}
+}
--- a/internal/control/fpgrant/move.go
+++ b/internal/control/fpgrant/move.go
@@ -185,7 +185,7 @@
 		if sta.step() != stageHolder {
 			continue
 		}
-		confirmed := hol.base >= rel.version && sta&flagForfeit == 0
+		confirmed := hol.base >= rel.version
 		expired := now.After(hol.leaseEnd) || sta&flagForfeit != 0 && now.After(hol.blocked)
 		if !confirmed && !expired {
 			kept = append(kept, rel)
--- a/internal/control/fpgrant/split.go
+++ b/internal/control/fpgrant/split.go
@@ -146,7 +146,8 @@
 		share = max(one.hot/one.requests, 0)
 	}
 	one.requests, one.hot = one.requests/2, one.hot/2
-	if kee.cfg.Table.name(ref).key != "" || float64(kee.weights[ref])*share < splitShare*mean {
+	nam := kee.cfg.Table.name(ref)
+	if nam.key != "" || kee.isSplit(nam, one.key) || float64(kee.weights[ref])*share < splitShare*mean {
 		one.rounds--
 		if one.rounds < -splitRounds {
 			delete(kee.hot.seen, ref)
@@ -162,6 +163,13 @@
 	kee.release(ref, kee.ownerName(ref))
 }
 
+// isSplit reports whether the key of a slot is split out already. Entry VMs report such a key until they know the split.
+func (kee *Keeper) isSplit(slot splitName, key string) bool {
+	slot.key = key
+	_, found := kee.cfg.Table.splits[slot]
+	return found
+}
+
 // calm reports whether a cell is owned and does not move.
 func (kee *Keeper) calm(ref uint32) bool {
 	return kee.cfg.Table.cells[ref].state == stateOwned && kee.stages[ref] == stageStill && !kee.hot.active(ref)
--- /dev/null
+++ b/internal/control/fpgrant/table_test.go
@@ -0,0 +1,323 @@
+package fpgrant
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// tableService has a name of the usual length, since every entry carries it.
+const tableService = "timeplan.v1.Timeplan"
+
+const (
+	absent    = fpwire.SlotState_SLOT_STATE_UNSPECIFIED
+	free      = fpwire.SlotState_SLOT_STATE_FREE
+	owned     = fpwire.SlotState_SLOT_STATE_OWNED
+	releasing = fpwire.SlotState_SLOT_STATE_RELEASING
+)
+
+func change(num uint32, key, owner string, epoch uint64, sta fpwire.SlotState, was uint64, old fpwire.SlotState) *fpwire.SlotUpdate {
+	return &fpwire.SlotUpdate{
+		Entry: &fpwire.SlotEntry{
+			Service:  tableService,
+			Number:   num,
+			SplitKey: []byte(key),
+			Owner:    owner,
+			Epoch:    epoch,
+			State:    sta,
+			Removed:  sta == absent,
+		},
+		ExpectedEpoch: was,
+		ExpectedState: old,
+	}
+}
+
+func homes(first, last uint32) *fpwire.SetHomes {
+	return &fpwire.SetHomes{
+		Service: tableService,
+		Slots:   1 << 20,
+		Homes: []*fpoperator.Home{{
+			FirstSlot: first,
+			LastSlot:  last,
+		}},
+	}
+}
+
+func apply(tab *Table, index uint64, upd ...*fpwire.SlotUpdate) error {
+	return tab.Apply(Position{Term: 1, Index: index}, &fpwire.UpdateSlots{Updates: upd})
+}
+
+// TestRefusedSteps guards the replicated rules that hold whatever a leader proposes: no owner without a release, no epoch
+// twice, no key split from or merged into a slot that is served, and no part of a refused command.
+func TestRefusedSteps(t *testing.T) {
+	tab := &Table{}
+	if err := tab.SetHomes(Position{Term: 1, Index: 1}, homes(0, 9)); err != nil {
+		t.Fatal(err)
+	}
+	for i, one := range []*fpwire.SlotUpdate{
+		change(0, "", "a", 1, owned, 0, free),
+		change(1, "", "a", 1, owned, 0, free),
+		change(1, "", "a", 1, releasing, 1, owned),
+		change(2, "", "a", 5, owned, 0, free),
+		change(2, "", "a", 5, releasing, 5, owned),
+		change(2, "k", "a", 7, owned, 0, absent),
+		change(2, "k", "a", 7, releasing, 7, owned),
+		change(3, "", "a", 5, owned, 0, free),
+		change(3, "", "a", 5, releasing, 5, owned),
+		change(3, "k", "a", 6, owned, 0, absent),
+		change(3, "", "a", 6, owned, 5, releasing),
+	} {
+		if err := apply(tab, uint64(i+2), one); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before, _ := tab.Snapshot()
+	for name, upd := range map[string][]*fpwire.SlotUpdate{
+		"owner without release":         {change(0, "", "b", 2, owned, 1, owned)},
+		"free without release":          {change(0, "", "", 1, free, 1, owned)},
+		"same epoch":                    {change(1, "", "b", 1, owned, 1, releasing)},
+		"lower epoch":                   {change(1, "", "b", 0, owned, 1, releasing)},
+		"releasing names another owner": {change(0, "", "b", 1, releasing, 1, owned)},
+		"releasing with another epoch":  {change(0, "", "a", 2, releasing, 1, owned)},
+		"unexpected epoch":              {change(1, "", "b", 3, owned, 0, releasing)},
+		"unexpected state":              {change(1, "", "b", 3, owned, 1, owned)},
+		"no owner":                      {change(1, "", "", 2, owned, 1, releasing)},
+		"not homed":                     {change(10, "", "a", 1, owned, 0, free)},
+		"twice":                         {change(1, "", "a", 2, owned, 1, releasing), change(1, "", "b", 3, owned, 1, releasing)},
+		"second update is refused":      {change(4, "", "a", 1, owned, 0, free), change(0, "", "b", 2, owned, 1, owned)},
+		"split of a served slot":        {change(0, "k", "a", 2, owned, 0, absent)},
+		"split below the slot's epoch":  {change(1, "k", "a", 1, owned, 0, absent)},
+		"merge below the key's epoch":   {change(2, "k", "", 7, absent, 7, releasing), change(2, "", "a", 6, owned, 5, releasing)},
+		"merge without the slot":        {change(2, "k", "", 7, absent, 7, releasing)},
+		"merge of a served key":         {change(3, "k", "", 6, absent, 6, owned), change(3, "", "a", 7, owned, 6, owned)},
+		"split twice":                   {change(1, "k", "a", 2, owned, 0, absent), change(1, "k", "b", 2, owned, 0, absent)},
+	} {
+		if err := apply(tab, 90, upd...); !fperror.Is(err, fperror.VersionConflict) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if after, _ := tab.Snapshot(); !bytes.Equal(before, after) {
+			t.Errorf("%s: the refused command changed the table", name)
+		}
+	}
+	if err := tab.SetHomes(Position{Term: 1, Index: 91}, homes(1, 9)); !fperror.Is(err, fperror.VersionConflict) {
+		t.Errorf("a slot with an owner left the group: %v", err)
+	}
+}
+
+// TestHomesKeepEpochs guards against an epoch that is used twice when a slot leaves the group and returns.
+func TestHomesKeepEpochs(t *testing.T) {
+	tab := &Table{}
+	for i, set := range []*fpwire.SetHomes{homes(0, 9), homes(0, 3), homes(0, 9)} {
+		if err := tab.SetHomes(Position{Term: 1, Index: uint64(10 * (i + 1))}, set); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			if err := apply(tab, 11, change(7, "", "a", 4, owned, 0, free)); err != nil {
+				t.Fatal(err)
+			}
+			_ = apply(tab, 12, change(7, "", "a", 4, releasing, 4, owned))
+			if err := apply(tab, 13, change(7, "", "", 4, free, 4, releasing)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if slo, ok := tab.Slot(tableService, 7, ""); !ok || slo.Epoch < 4 || tab.Len() != 10 {
+		t.Errorf("slot %+v, %d slots", slo, tab.Len())
+	}
+	if _, full := tab.Delta(Position{Term: 1, Index: 12}); !full {
+		t.Error("a table from before the change of homes got a delta")
+	}
+}
+
+// TestDeltas guards against a copy of the table that misses a change, whatever version it starts from, and against a
+// snapshot that loses state.
+func TestDeltas(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tab := &Table{}
+		pos := Position{Term: 1, Index: 1}
+		_ = tab.SetHomes(pos, homes(0, 5))
+		copies := []map[string]string{{}}
+		versions := []Position{{}}
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			pos.Index += rapid.Uint64Range(1, 3).Draw(rt, "gap")
+			pos.Term += rapid.Uint64Range(0, 1).Draw(rt, "term")
+			num := rapid.Uint32Range(0, 5).Draw(rt, "slot")
+			key := rapid.SampledFrom([]string{"", "", "k", "l"}).Draw(rt, "key")
+			slo, _ := tab.Slot(tableService, num, key)
+			plain, _ := tab.Slot(tableService, num, "")
+			owner := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "owner")
+			top := max(slo.Epoch, plain.Epoch) + 1
+			upd := []*fpwire.SlotUpdate{change(num, key, owner, top, owned, slo.Epoch, slo.State)}
+			if slo.State == owned {
+				upd[0] = change(num, key, slo.Owner, slo.Epoch, releasing, slo.Epoch, owned)
+			} else if key != "" && slo.State == releasing && rapid.Bool().Draw(rt, "merge") {
+				upd = []*fpwire.SlotUpdate{
+					change(num, key, "", slo.Epoch, absent, slo.Epoch, slo.State),
+					change(num, "", owner, top, owned, plain.Epoch, plain.State),
+				}
+			}
+			_ = tab.Apply(pos, &fpwire.UpdateSlots{Updates: upd})
+			if rapid.IntRange(0, 9).Draw(rt, "restore") == 0 {
+				data, _ := tab.Snapshot()
+				tab = &Table{}
+				if err := tab.Restore(data); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			at := rapid.IntRange(0, len(copies)-1).Draw(rt, "copy")
+			entries, full := tab.Delta(versions[at])
+			next := maps.Clone(copies[at])
+			if full {
+				clear(next)
+			}
+			for _, ent := range entries {
+				name := fmt.Sprint(ent.GetNumber(), string(ent.GetSplitKey()))
+				next[name] = ent.String()
+				if ent.GetRemoved() {
+					delete(next, name)
+				}
+			}
+			want := map[string]string{}
+			whole, _ := tab.Delta(Position{})
+			for _, ent := range whole {
+				want[fmt.Sprint(ent.GetNumber(), string(ent.GetSplitKey()))] = ent.String()
+			}
+			if !maps.Equal(next, want) {
+				rt.Fatalf("copy %v\nwant %v", next, want)
+			}
+			copies, versions = append(copies, next), append(versions, tab.Version())
+		}
+	})
+}
+
+// bigTable returns a table whose slots are spread over the upstreams, and a Keeper that all of them have answered.
+func bigTable(b *testing.B, slots uint32, upstreams int) (*Table, *Keeper, time.Time) {
+	b.Helper()
+	tab := &Table{}
+	if err := tab.SetHomes(Position{Term: 1, Index: 1}, homes(0, slots-1)); err != nil {
+		b.Fatal(err)
+	}
+	all := names(upstreams)
+	upd := make([]*fpwire.SlotUpdate, 0, updatesPerCommand)
+	for num := range slots {
+		upd = append(upd, change(num, "", all[int(num)%upstreams], 1, owned, 0, free))
+		if len(upd) == updatesPerCommand || num == slots-1 {
+			if err := apply(tab, uint64(num)+2, upd...); err != nil {
+				b.Fatal(err)
+			}
+			upd = upd[:0]
+		}
+	}
+	now := time.Unix(1_700_000_000, 0)
+	kee := NewKeeper(KeeperConfig{
+		Term:    2,
+		Elected: now,
+		Table:   tab,
+	})
+	for _, name := range all {
+		kee.Announce(now, &fpcontract.AnnounceRequest{
+			Upstream: &fpcontract.Upstream{
+				Name:        name,
+				Incarnation: 1,
+				Service:     tableService,
+				ChecksFence: true,
+			},
+		})
+	}
+	return tab, kee, now
+}
+
+func answerAll(kee *Keeper, now time.Time, act Actions) {
+	for _, gra := range act.Grants {
+		ver := gra.Request.GetVersion()
+		if ver == 0 {
+			ver = 1
+		}
+		kee.GrantAnswer(now, gra.Upstream.GetName(), &fpcontract.GrantResponse{
+			Accepted:    true,
+			Token:       uint64(now.UnixNano()),
+			Version:     ver,
+			Term:        2,
+			Incarnation: 1,
+		}, nil)
+	}
+}
+
+// BenchmarkKeeper measures a tick with nothing due, a tick with a renewal of every upstream, and a round of rebalancing.
+func BenchmarkKeeper(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 1000} {
+		for _, slots := range []uint32{1 << 10, 1 << 16, 1 << 20} {
+			b.Run(fmt.Sprintf("upstreams=%d/slots=%d", upstreams, slots), func(b *testing.B) {
+				_, kee, now := bigTable(b, slots, upstreams)
+				answerAll(kee, now, kee.Tick(now))
+				answerAll(kee, now, kee.Tick(now))
+				var idle, renew, round time.Duration
+				count := 0
+				for b.Loop() {
+					begin := time.Now()
+					kee.Tick(now.Add(time.Millisecond))
+					idle += time.Since(begin)
+					now = now.Add(250 * time.Millisecond)
+					begin = time.Now()
+					answerAll(kee, now, kee.Tick(now))
+					renew += time.Since(begin)
+					begin = time.Now()
+					kee.nextLoad = now
+					kee.measure(now)
+					round += time.Since(begin)
+					count++
+				}
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(float64(idle.Nanoseconds())/float64(count), "ns/idle-tick")
+				b.ReportMetric(float64(renew.Nanoseconds())/float64(count)/float64(upstreams), "ns/renewal")
+				b.ReportMetric(float64(round.Nanoseconds())/float64(count), "ns/round")
+			})
+		}
+	}
+}
+
+// BenchmarkTable measures memory, snapshot, whole answer and the answer that carries the moves of one lost upstream.
+func BenchmarkTable(b *testing.B) {
+	for _, slots := range []uint32{1 << 10, 1 << 16, 1 << 20} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			tab, _, _ := bigTable(b, slots, 100)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			data, _ := tab.Snapshot()
+			whole, _ := tab.Delta(Position{})
+			since := tab.Version()
+			var upd []*fpwire.SlotUpdate
+			tab.held("u0007", func(ref uint32) {
+				upd = append(upd, change(tab.name(ref).number, "", "u0007", 1, releasing, 1, owned))
+			})
+			if err := apply(tab, since.Index+1, upd...); err != nil {
+				b.Fatal(err)
+			}
+			delta, _ := tab.Delta(since)
+			for b.Loop() {
+				tab.Delta(since)
+			}
+			size := func(entries []*fpwire.SlotEntry) float64 {
+				return float64(proto.Size(&fpwire.PollResponse{Entries: entries}))
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(slots), "B/slot")
+			b.ReportMetric(float64(len(data))/float64(slots), "snapshot-B/slot")
+			b.ReportMetric(size(whole)/float64(slots), "full-B/slot")
+			b.ReportMetric(size(delta)/float64(len(upd)), "delta-B/change")
+		})
+	}
+}
