--- a/internal/bench/fpsystem/caller_test.go
+++ b/internal/bench/fpsystem/caller_test.go
@@ -113,6 +113,7 @@
 		if last = sys.do(req); last.ok() {
 			return time.Since(began)
 		}
+		sys.t.Logf("after %v: %v", time.Since(began), last)
 		time.Sleep(5 * time.Millisecond)
 	}
 	sys.t.Fatalf("%s of %q through %s not served within %v; last: %v", req.path, req.key, req.vm, patience, last)
--- a/internal/control/fpgrant/move.go
+++ b/internal/control/fpgrant/move.go
@@ -115,6 +115,9 @@
 	if !over(kee.strangersEnd()) {
 		return false
 	}
+	// An upstream that checks fences has stopped every request when its lease ended, so a request in flight on it, whose
+	// end the VM cannot learn from a dead upstream, blocks nothing.
+	stopped := kee.checks(bat.from) && now.After(kee.holder(bat.from).leaseEnd)
 	for key, vie := range kee.viewers {
 		known, confirmed := bat.busy[key]
 		if !confirmed && !over(vie.validEnd) {
@@ -122,7 +125,7 @@
 		}
 		silent := now.After(vie.validEnd)
 		for ref, end := range known {
-			if silent && (kee.checks(bat.from) || now.After(end)) {
+			if stopped || silent && (kee.checks(bat.from) || now.After(end)) {
 				continue
 			}
 			blocked[ref] = true
@@ -185,7 +188,7 @@
 		if sta.step() != stageHolder {
 			continue
 		}
-		confirmed := hol.base >= rel.version && sta&flagForfeit == 0
+		confirmed := hol.base >= rel.version
 		expired := now.After(hol.leaseEnd) || sta&flagForfeit != 0 && now.After(hol.blocked)
 		if !confirmed && !expired {
 			kept = append(kept, rel)
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,7 @@
 		Slot:     fli.Place().Slot,
 		Epoch:    fli.Epoch(),
 		Check:    fli.Check,
+		Changed:  fli.Changed,
 		Done:     func(busy time.Duration, _ error) { fli.Done(busy) },
 	}, nil
 }
@@ -134,6 +136,9 @@
 		return 0, false
 	}
 	kin := fperror.KindOf(err)
+	if cal.Method().Keyed() && waitsForOwner(kin) {
+		return ownerPause/2 + time.Duration(rand.Int64N(int64(ownerPause))), true
+	}
 	losses := 0
 	if kin == fperror.UpstreamLost {
 		losses = len(cal.Tried())
@@ -149,6 +154,15 @@
 	return dec.After(), dec.Retry()
 }
 
+// ownerPause is the mean pause of a keyed call whose owner cannot be reached or whose slot moves.
+const ownerPause = 40 * time.Millisecond
+
+// waitsForOwner reports whether a keyed call waits, within its deadline, for the owner to come back or for a new owner.
+// Nothing was sent, so these tries add no load to upstreams and take nothing from the budget.
+func waitsForOwner(kin fperror.Kind) bool {
+	return kin == fperror.ConnectFailed || kin == fperror.NoOwner
+}
+
 func (ent *Entry) succeeded(cal *fpserve.Call) {
 	if ser := ent.find(cal.Method().Service().Name()); ser != nil {
 		ser.retrier.Success(time.Now())
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -77,7 +77,7 @@
 // run forwards the request and takes the answer.
 func (att *attempt) run() (time.Duration, error) {
 	exc := att.exc
-	con, err := exc.ser.cfg.Pools.Pool(att.target.Upstream).Reserve(exc.ctx)
+	con, err := exc.ser.cfg.Pools.Pool(att.target.Upstream).Reserve(exc.ctx, att.target.Changed)
 	if err != nil {
 		err = exc.ended(err)
 		att.end(Result{Err: err})
--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -184,7 +184,7 @@
 		cfg.Route = func(context.Context, *fpserve.Call) (*fpserve.Target, error) {
 			return &fpserve.Target{
 				Upstream: sta.upstream,
-				Done:     func(time.Duration) { done <- sta.canceled.Load() },
+				Done:     func(time.Duration, error) { done <- sta.canceled.Load() },
 			}, nil
 		}
 	}, sta)
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -106,7 +106,7 @@
 
 // Do sends one request of a client of the upstream's own services.
 func (poo *Pool) Do(req *http.Request) (*http.Response, error) {
-	con, err := poo.Reserve(req.Context())
+	con, err := poo.Reserve(req.Context(), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -68,14 +68,19 @@
 }
 
 // Reserve returns a connection with a reservation for one request. When all connections are full it opens another one,
-// up to the limit, and otherwise waits. Its error is of the kind ConnectFailed: nothing was sent.
-func (poo *Pool) Reserve(ctx context.Context) (*Conn, error) {
+// up to the limit, and otherwise waits until ctx ends or the channel that giveUp returns is closed. giveUp is called only
+// when the request has to wait; it may be nil. The error is of the kind ConnectFailed: nothing was sent.
+func (poo *Pool) Reserve(ctx context.Context, giveUp func() <-chan struct{}) (*Conn, error) {
 	con, _, err := poo.take(ctx)
 	if con != nil || err != nil {
 		return con, err
 	}
 	poo.waiting.Add(1)
 	defer poo.waiting.Add(-1)
+	var over <-chan struct{}
+	if giveUp != nil {
+		over = giveUp()
+	}
 	for {
 		// The pool is looked at again after the caller is counted as waiting, so that no change is missed.
 		con, changed, err := poo.take(ctx)
@@ -84,6 +89,8 @@
 		}
 		select {
 		case <-changed:
+		case <-over:
+			return nil, fperror.New(fperror.ConnectFailed, "no connection to %s before the request was given up", poo.upstream.GetName())
 		case <-ctx.Done():
 			return nil, fperror.Wrap(fperror.ConnectFailed, ctx.Err(), "no connection to %s in time", poo.upstream.GetName())
 		}
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -194,7 +194,7 @@
 
 // post sends a request that net/http takes for one that may be sent again.
 func post(t *testing.T, poo *fpconn.Pool, path string) error {
-	con, err := poo.Reserve(t.Context())
+	con, err := poo.Reserve(t.Context(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -258,7 +258,7 @@
 	_ = lis.Close()
 	poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
 	start := time.Now()
-	_, err = poo.Reserve(t.Context())
+	_, err = poo.Reserve(t.Context(), nil)
 	if !fperror.Is(err, fperror.ConnectFailed) || time.Since(start) > 500*time.Millisecond {
 		t.Errorf("got %v after %v", err, time.Since(start))
 	}
@@ -272,7 +272,7 @@
 	}
 	defer lis.Close()
 	poo := newPools(t, fpconn.Config{ConnectTimeout: 200 * time.Millisecond}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
-	if _, err = poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	if _, err = poo.Reserve(t.Context(), nil); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -294,7 +294,7 @@
 	go func() { ended <- get(t.Context(), poo) }()
 	<-begun
 	pos.Update(nil)
-	if _, err := poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	if _, err := poo.Reserve(t.Context(), nil); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("a pool that was closed gave a connection: %v", err)
 	}
 	close(finish)
