--- a/internal/control/fpgrant/churn_test.go
+++ b/internal/control/fpgrant/churn_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// TestRequestOnLostOwner guards against a slot that waits for the deadline of a request whose end nobody can learn, because
+// its upstream, which checks fences, is dead.
+func TestRequestOnLostOwner(t *testing.T) {
+	lab := newLab(16, names(4)...)
+	delete(lab.live, "u0000")
+	for num := range uint32(16) {
+		lab.flying = append(lab.flying, &fpwire.BusySlot{
+			Service:   modelService,
+			Number:    num,
+			Remaining: durationpb.New(30 * time.Second),
+		})
+	}
+	lab.run(1900 * time.Millisecond)
+	if left := lab.tab.Owned("u0000"); left > 0 {
+		t.Errorf("%d slots wait for requests on a lost owner", left)
+	}
+}
+
 // TestNewLeader guards against moves by a new leader while all owners are alive, however long the group had no leader.
 func TestNewLeader(t *testing.T) {
 	for _, gap := range []time.Duration{0, 600 * time.Millisecond, 10 * time.Second} {
--- a/internal/control/fpgrant/lab_test.go
+++ b/internal/control/fpgrant/lab_test.go
@@ -22,6 +22,7 @@
 	table  Position
 	busy   bool // report load on every slot
 	loads  func() []*fpwire.SlotLoad
+	flying []*fpwire.BusySlot // requests in flight that polls report
 	grants int
 	soft   Announcements
 }
@@ -103,6 +104,7 @@
 		Table:        lab.table.Version(),
 		Registry:     1,
 		RegistryTerm: 1,
+		Busy:         lab.flying,
 	}
 	if lab.loads != nil {
 		req.Load = lab.loads()
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -136,7 +136,7 @@
 		return 0, false
 	}
 	kin := fperror.KindOf(err)
-	if cal.Method().Keyed() && waitsForOwner(kin) {
+	if cal.Method().Keyed() && waitsForOwner(kin, len(cal.Tried())) {
 		return ownerPause/2 + time.Duration(rand.Int64N(int64(ownerPause))), true
 	}
 	losses := 0
@@ -157,10 +157,20 @@
 // ownerPause is the mean pause of a keyed call whose owner cannot be reached or whose slot moves.
 const ownerPause = 40 * time.Millisecond
 
-// waitsForOwner reports whether a keyed call waits, within its deadline, for the owner to come back or for a new owner.
-// Nothing was sent, so these tries add no load to upstreams and take nothing from the budget.
-func waitsForOwner(kin fperror.Kind) bool {
-	return kin == fperror.ConnectFailed || kin == fperror.NoOwner
+// maxFenced is how often a keyed call is sent again to an owner that has not got its grant yet.
+const maxFenced = 5
+
+// waitsForOwner reports whether a keyed call waits, within its deadline, for its owner to come back, for a new owner, or for
+// a new owner's grant. These tries take nothing from the budget, because an upstream gets at most a few of them.
+func waitsForOwner(kin fperror.Kind, tries int) bool {
+	switch kin {
+	case fperror.ConnectFailed, fperror.NoOwner:
+		return true
+	case fperror.UpstreamFenced:
+		return tries <= maxFenced
+	default:
+		return false
+	}
 }
 
 func (ent *Entry) succeeded(cal *fpserve.Call) {
