fpvoter: follow the present voters of a group

Cause: only the first voters of the settings opened a member and were asked for the leader, so a voter added later had no log and a group whose first voters were replaced could not be found. Ruled out: a second list of candidates in the settings, because answers to polls can name the voters. Change: every VM with a disk opens a member of every group; answers to polls name the voters; announcements and polls go to them. fpvoter uses the announcements of fpgrant instead of its own list.

--- a/internal/node/fpnode/node.go
+++ b/internal/node/fpnode/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,7 +106,7 @@
 		Addresses: addresses,
 		Client:    fptls.NewClient(fptls.PeerClient(set, nod.tls)),
 		Scheme:    scheme,
-		Voters:    nod.candidates,
+		Voters:    nod.firstVoters,
 	})
 	nod.granter = newGranter(set, nod.peers)
 	for _, gro := range set.Groups() {
@@ -150,9 +151,8 @@
 	return names
 }
 
-// candidates returns the VMs that may lead a group: its first voters, then the other VMs with disks, which operators may
-// have added.
-func (nod *Node) candidates(group string) []string {
+// firstVoters returns the VMs that voted in a group when it was created.
+func (nod *Node) firstVoters(group string) []string {
 	gro, ok := nod.cfg.Settings.FindGroup(group)
 	if !ok {
 		return nil
@@ -160,12 +160,13 @@
 	return gro.Voters()
 }
 
+// openVoters opens a member of every group on a VM with a disk. A member that has no vote waits until an operator adds it.
 func (nod *Node) openVoters() error {
 	set := nod.cfg.Settings
+	if !set.HasRole(fpsettings.RoleControl) {
+		return nil
+	}
 	for _, gro := range set.Groups() {
-		if !contains(gro.Voters(), set.VM()) {
-			continue
-		}
 		tim := set.Timings()
 		vot, err := fpvoter.Open(fpvoter.Config{
 			Group:  gro.Name(),
@@ -194,15 +195,6 @@
 	return nil
 }
 
-func contains(names []string, name string) bool {
-	for _, one := range names {
-		if one == name {
-			return true
-		}
-	}
-	return false
-}
-
 // entryConfig returns the configuration of the forwarding path. A VM without the role entry polls only the root group, to
 // follow the configuration.
 func (nod *Node) entryConfig() fpentry.Config {
--- a/internal/node/fpnode/run.go
+++ b/internal/node/fpnode/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -173,7 +174,7 @@
 // serveHealth answers the balancer: a VM is healthy while it has a configuration and does not drain.
 func (nod *Node) serveHealth(wri http.ResponseWriter, _ *http.Request) {
 	_, cfg := nod.configuration()
-	if cfg == nil || nod.draining.Load() || contains(cfg.GetDrainedVms(), nod.vm()) {
+	if cfg == nil || nod.draining.Load() || slices.Contains(cfg.GetDrainedVms(), nod.vm()) {
 		wri.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/fppeer/peers.go
+++ b/internal/node/fppeer/peers.go
@@ -31,7 +31,7 @@
 	// Client sends the calls, and Scheme is http or https.
 	Client *http.Client
 	Scheme string
-	// Voters returns the names of the VMs that may lead a group.
+	// Voters returns the names of the VMs that voted in a group at first. Answers to polls name the present voters.
 	Voters func(group string) []string
 }
 
@@ -42,6 +42,7 @@
 
 	mutex   sync.Mutex
 	leaders map[string]string
+	voters  map[string][]string
 }
 
 // New returns the clients of all VMs. It opens no connection.
@@ -50,6 +51,7 @@
 		cfg:     cfg,
 		clients: map[string]Peer{},
 		leaders: map[string]string{},
+		voters:  map[string][]string{},
 	}
 	for vm, address := range cfg.Addresses {
 		if vm != cfg.VM {
@@ -80,16 +82,29 @@
 	prs.leaders[group] = vm
 }
 
-// candidates returns the VMs to ask in turn: the believed leader first, then the other voters.
-func (prs *Peers) candidates(group string) []string {
-	voters := prs.cfg.Voters(group)
-	leader := prs.Leader(group)
-	if leader == "" {
-		return voters
+// Voters returns the VMs that vote in a group as far as this VM knows.
+func (prs *Peers) Voters(group string) []string {
+	prs.mutex.Lock()
+	known := prs.voters[group]
+	prs.mutex.Unlock()
+	if len(known) > 0 {
+		return known
 	}
-	all := []string{leader}
-	for _, vm := range voters {
-		if vm != leader {
+	return prs.cfg.Voters(group)
+}
+
+func (prs *Peers) setVoters(group string, voters []string) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	prs.voters[group] = voters
+}
+
+// candidates returns the VMs to ask in turn: the believed leader, the other voters, and those of the settings, for the case
+// that all known voters have been replaced meanwhile.
+func (prs *Peers) candidates(group string) []string {
+	var all []string
+	for _, vm := range slices.Concat([]string{prs.Leader(group)}, prs.Voters(group), prs.cfg.Voters(group)) {
+		if vm != "" && !slices.Contains(all, vm) {
 			all = append(all, vm)
 		}
 	}
@@ -129,7 +144,7 @@
 			return answer, nil
 		}
 	}
-	for _, vm := range prs.cfg.Voters(req.group) {
+	for _, vm := range prs.Voters(req.group) {
 		if answer, ok, _ := sea.try(ctx, vm, true); ok {
 			return answer, nil
 		}
@@ -199,6 +214,9 @@
 			if err != nil {
 				return nil, false, "", err
 			}
+			if len(res.Msg.GetVoters()) > 0 {
+				prs.setVoters(req.GetGroup(), res.Msg.GetVoters())
+			}
 			return res.Msg, res.Msg.GetTerm() != 0, res.Msg.GetLeader(), nil
 		},
 	})
@@ -298,11 +316,16 @@
 
 // Relay passes an announcement to every voter of a group and reports how many have it.
 func (prs *Peers) Relay(ctx context.Context, req *fpwire.RelayRequest) int {
-	voters := slices.Clone(prs.cfg.Voters(req.GetGroup()))
+	voters := prs.Voters(req.GetGroup())
 	done := make(chan bool, len(voters))
 	for _, vm := range voters {
 		go func() {
-			_, err := prs.Peer(vm).Relay(ctx, connect.NewRequest(req))
+			per := prs.Peer(vm)
+			if per == nil {
+				done <- false
+				return
+			}
+			_, err := per.Relay(ctx, connect.NewRequest(req))
 			done <- err == nil
 		}()
 	}
--- a/internal/node/fpvoter/leader.go
+++ b/internal/node/fpvoter/leader.go
@@ -64,9 +64,7 @@
 		Keyed:         vot.cfg.Keyed,
 	})
 	vot.cfg.Log.Info("leading a group", zap.String("group", vot.cfg.Group), zap.Uint64("term", lead.Term))
-	for _, ann := range vot.recent(time.Now()) {
-		lea.announce(time.Now(), ann)
-	}
+	lea.do(vot.replay)
 	go lea.run()
 	lea.reconfigure()
 	return lea
--- a/internal/node/fpvoter/serve.go
+++ b/internal/node/fpvoter/serve.go
@@ -29,12 +29,24 @@
 	lea.do(func(kee *fpgrant.Keeper) { res = kee.PollAnswer(time.Now(), req) })
 	// The list is read after the table, so that a VM never confirms a version whose quarantined requests it lacks.
 	res.Quarantined = vot.machine.Quarantined()
+	res.Voters = vot.voters()
 	if !lea.valid() {
 		return vot.elsewhere()
 	}
 	return res
 }
 
+// voters returns the names of the VMs that vote now.
+func (vot *Voter) voters() []string {
+	var names []string
+	for _, mem := range vot.group.Status().Members {
+		if !mem.Learner {
+			names = append(names, mem.VM)
+		}
+	}
+	return names
+}
+
 func (vot *Voter) elsewhere() *fpwire.PollResponse {
 	return &fpwire.PollResponse{
 		Leader: vot.Leader(),
--- a/internal/node/fpvoter/voter.go
+++ b/internal/node/fpvoter/voter.go
@@ -60,20 +60,12 @@
 	group   *fpgroup.Group
 	opened  time.Time
 
-	mutex     sync.Mutex
-	leading   *leader
-	announced map[string]announcement
+	mutex   sync.Mutex
+	leading *leader
+	// announced is kept by every voter, so that a new leader knows all addresses at once.
+	announced fpgrant.Announcements
 }
 
-// announcement is the newest announcement of an upstream. Every voter keeps them, so that a new leader knows all addresses.
-type announcement struct {
-	request *fpcontract.AnnounceRequest
-	heard   time.Time
-}
-
-// announcementLife is how long an announcement is kept. Upstreams announce themselves every second.
-const announcementLife = 10 * time.Second
-
 // replica adapts the machine to the positions of the group.
 type replica struct {
 	*fpmachine.Machine
@@ -91,11 +83,10 @@
 		return nil, err
 	}
 	vot := &Voter{
-		cfg:       cfg,
-		storage:   storage,
-		machine:   fpmachine.New(fpmachine.Config{}),
-		opened:    time.Now(),
-		announced: map[string]announcement{},
+		cfg:     cfg,
+		storage: storage,
+		machine: fpmachine.New(fpmachine.Config{}),
+		opened:  time.Now(),
 	}
 	members := make([]fpgroup.Member, len(cfg.Voters))
 	for num, vm := range cfg.Voters {
@@ -190,15 +181,8 @@
 // Announce takes an upstream's announcement.
 func (vot *Voter) Announce(req *fpcontract.AnnounceRequest) {
 	now := time.Now()
-	name := req.GetUpstream().GetName()
 	vot.mutex.Lock()
-	old, known := vot.announced[name]
-	if !known || old.request.GetUpstream().GetIncarnation() <= req.GetUpstream().GetIncarnation() {
-		vot.announced[name] = announcement{
-			request: req,
-			heard:   now,
-		}
-	}
+	vot.announced.Add(now, req)
 	lea := vot.leading
 	vot.mutex.Unlock()
 	if lea != nil {
@@ -206,19 +190,11 @@
 	}
 }
 
-// recent returns the announcements that are not too old, and forgets the others.
-func (vot *Voter) recent(now time.Time) []*fpcontract.AnnounceRequest {
+// replay tells a new leader's keeper what was announced before.
+func (vot *Voter) replay(kee *fpgrant.Keeper) {
 	vot.mutex.Lock()
 	defer vot.mutex.Unlock()
-	var all []*fpcontract.AnnounceRequest
-	for name, ann := range vot.announced {
-		if now.Sub(ann.heard) > announcementLife {
-			delete(vot.announced, name)
-			continue
-		}
-		all = append(all, ann.request)
-	}
-	return all
+	vot.announced.Replay(time.Now(), kee)
 }
 
 // Reconfigured tells the voter that another configuration is in force on this VM.
