--- a/internal/node/fpnode/node.go
+++ b/internal/node/fpnode/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
