--- a/internal/control/fpgrant/churn_test.go
+++ b/internal/control/fpgrant/churn_test.go
@@ -102,6 +102,12 @@
 		before := lab.owners()
 		lab.now = lab.now.Add(gap)
 		lab.elect()
+		lab.run(100 * time.Millisecond)
+		for name, pro := range lab.live {
+			if renewed := pro.version>>32 == lab.term; gap < DefaultLease && !renewed {
+				t.Errorf("%s is not renewed 100 ms after the election", name)
+			}
+		}
 		lab.run(5 * time.Second)
 		if got := moved(before, lab.owners()); got != 0 {
 			t.Errorf("%d slots moved after %v without a leader", got, gap)
@@ -324,3 +330,73 @@
 		}
 	}
 }
+
+// TestInherited guards what a new leader takes over: a slot whose move began earlier is granted to nobody, since its owner
+// may have restarted, and answers of another term count for nothing.
+func TestInherited(t *testing.T) {
+	lab := newLab(8, names(2)...)
+	slo, _ := lab.tab.Slot(modelService, 3, "")
+	lab.index++
+	if err := lab.tab.Apply(Position{Term: 1, Index: lab.index}, &fpwire.UpdateSlots{
+		Updates: []*fpwire.SlotUpdate{{
+			Entry: &fpwire.SlotEntry{
+				Service: modelService,
+				Number:  3,
+				Owner:   slo.Owner,
+				Epoch:   slo.Epoch,
+				State:   releasing,
+			},
+			ExpectedEpoch: slo.Epoch,
+			ExpectedState: owned,
+		}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	lab.elect()
+	for range 10 {
+		lab.now = lab.now.Add(moveCheck)
+		for _, gra := range lab.kee.Tick(lab.now).Grants {
+			for _, add := range gra.Request.GetAdded() {
+				if add.GetNumber() == 3 {
+					t.Fatal("a slot that moves was granted")
+				}
+			}
+			pro := lab.live[gra.Upstream.GetName()]
+			pro.mod.now = lab.now
+			res := pro.grant(gra.Request)
+			lab.kee.GrantAnswer(lab.now, gra.Upstream.GetName(), res, nil)
+			token := lab.kee.holders[gra.Upstream.GetName()].token
+			res.Term, res.Token = 1, 1<<60
+			lab.kee.GrantAnswer(lab.now, gra.Upstream.GetName(), res, nil)
+			if got := lab.kee.holders[gra.Upstream.GetName()].token; got != token {
+				t.Fatal("an answer of another term counted")
+			}
+		}
+	}
+}
+
+// TestColdLeader guards the lists of entry VMs against a leader that has not yet heard from every upstream.
+func TestColdLeader(t *testing.T) {
+	lab := newLab(8, names(2)...)
+	kee := NewKeeper(KeeperConfig{
+		Term:       2,
+		Elected:    lab.now,
+		HearsSince: lab.now,
+		Table:      lab.tab,
+	})
+	req := &fpwire.PollRequest{
+		Vm:           "v",
+		Table:        (Position{Term: 1, Index: 1}).Version(),
+		Registry:     3,
+		RegistryTerm: 1,
+	}
+	kee.Poll(lab.now, req)
+	res := kee.PollAnswer(lab.now, req)
+	if res.GetUpstreamsChanged() || len(res.GetEntries()) > 0 || PositionOf(res.GetTable()).Index != 1 ||
+		res.GetValidity() == nil || kee.News(lab.now, req) {
+		t.Errorf("answer of a leader that knows no upstream: %v", res)
+	}
+	if late := lab.now.Add(3 * time.Second); !kee.News(late, req) || !kee.PollAnswer(late, req).GetUpstreamsChanged() {
+		t.Error("the list is withheld after 3 s")
+	}
+}
