fpserve: take errors from cockroachdb/errors

The conventions name that library. A refusal hands its error to the error writer as it is, because a new error would record a stack, which refusals under overload cannot afford.

--- a/internal/config/fpschema/findjson.go
+++ b/internal/config/fpschema/findjson.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"io"
 	"math/big"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 )
--- a/internal/route/fpserve/body.go
+++ b/internal/route/fpserve/body.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"errors"
 	"io"
 	"net/http"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpschema"
 )
--- a/internal/route/fpserve/exchange.go
+++ b/internal/route/fpserve/exchange.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
 
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
--- a/internal/route/fpserve/refuse.go
+++ b/internal/route/fpserve/refuse.go
@@ -1,12 +1,12 @@
 package fpserve
 
 import (
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
@@ -41,7 +41,7 @@
 	hea := wri.Header()
 	hea[outcomeHeader] = []string{outcomeOf(err).String()}
 	hea[errorHeader] = []string{kin.String()}
-	_ = ser.errors.Write(wri, req, connect.NewError(kin.Answer().Code(), errors.New(err.Error())))
+	_ = ser.errors.Write(wri, req, connect.NewError(kin.Answer().Code(), err))
 }
 
 // abort ends an answer that has begun and cannot be completed. The caller must not take it for a whole one: gRPC gets an
--- a/internal/route/fpserve/stream.go
+++ b/internal/route/fpserve/stream.go
@@ -1,12 +1,13 @@
 package fpserve
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
 
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
 
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -45,6 +45,10 @@
 			wir.mutex.Lock()
 			wir.stop = append(wir.stop, stop)
 			wir.mutex.Unlock()
+			t.Cleanup(func() {
+				_ = near.Close()
+				_ = far.Close()
+			})
 			go pump(near, far, stop)
 			go pump(far, near, stop)
 		}
@@ -157,6 +161,7 @@
 			}
 			slow.Store(false)
 			for get(ctx, poo) != nil && ctx.Err() == nil {
+				time.Sleep(5 * time.Millisecond)
 			}
 			if took := time.Since(start); took > 2*time.Second {
 				t.Errorf("a silent connection was replaced after %v", took)
