fptable: keep the table in force when a service is added

Cause: a configuration that gave a group new slots let the whole table of the group expire until the next poll was answered, up to 250 ms during which all keyed calls of the group were refused. Change: the table stays valid for the slots that it covers, and the next poll asks for the whole table.

--- a/internal/route/fptable/group.go
+++ b/internal/route/fptable/group.go
@@ -22,7 +22,8 @@
 	version   *fpoperator.Version
 	releasing map[*slot]slotName
 	reported  fpclock.Moment // latest report of loads
-	epoch     uint64         // grows with forget, so that an answer to an earlier poll is refused
+	wanted    uint64         // grows when the whole table is needed
+	got       uint64         // wanted as it was when the poll for the latest whole table was created
 }
 
 // validity counts from the moment the poll was sent, which is never later than the leader's answer.
@@ -40,19 +41,18 @@
 	return val.span - val.sent.Elapsed(now)
 }
 
-// forget asks for the whole table at the next poll, and lets the table expire until then.
-func (gro *group) forget() {
+// wantWhole asks for the whole table at the next poll. The table in force stays valid for the slots that it covers; new
+// slots have no owner until then.
+func (gro *group) wantWhole() {
 	gro.mutex.Lock()
 	defer gro.mutex.Unlock()
-	gro.version = nil
-	gro.epoch++
-	gro.validity.Store(nil)
+	gro.wanted++
 }
 
 // Poll is a poll that is about to be sent. Its moment is taken when it is created.
 type Poll struct {
 	group   string
-	epoch   uint64
+	wanted  uint64
 	sent    fpclock.Moment
 	base    *fpoperator.Version
 	request *fpwire.PollRequest
@@ -69,14 +69,18 @@
 	gro.mutex.Lock()
 	defer gro.mutex.Unlock()
 	now := tab.cfg.Now()
+	base := gro.version
+	if gro.wanted != gro.got {
+		base = nil
+	}
 	return &Poll{
-		group: name,
-		epoch: gro.epoch,
-		sent:  now,
-		base:  gro.version,
+		group:  name,
+		wanted: gro.wanted,
+		sent:   now,
+		base:   base,
 		request: &fpwire.PollRequest{
 			Group: name,
-			Table: gro.version,
+			Table: base,
 			Busy:  gro.busy(now),
 			Load:  tab.loads(gro, now),
 		},
@@ -97,6 +101,7 @@
 	changed := res.GetFull() || len(res.GetEntries()) > 0
 	if res.GetFull() {
 		tab.clear(gro, res.GetEntries())
+		gro.got = pol.wanted
 	}
 	for _, ent := range res.GetEntries() {
 		tab.set(gro, ent)
@@ -112,8 +117,6 @@
 	switch {
 	case res.GetLeader() != "":
 		return fperror.New(fperror.NotLeader, "the leader of %s is %s", gro.name, res.GetLeader())
-	case pol.epoch != gro.epoch:
-		return fperror.New(fperror.TableExpired, "the homes of %s changed since the poll", gro.name)
 	case res.GetTerm() < gro.term:
 		return fperror.New(fperror.NotLeader, "the answer is of term %d, before %d", res.GetTerm(), gro.term)
 	case compare(res.GetTable(), gro.version) < 0:
--- a/internal/route/fptable/table.go
+++ b/internal/route/fptable/table.go
@@ -121,7 +121,7 @@
 		}
 		ser.slots[num] = &slot{}
 		if ser.groups[num] != nil {
-			ser.groups[num].forget()
+			ser.groups[num].wantWhole()
 		}
 	}
 	return ser
--- a/internal/route/fptable/table_test.go
+++ b/internal/route/fptable/table_test.go
@@ -285,3 +285,37 @@
 	fmt.Println(pla.Group, pla.Slot, err)
 	// Output: oslo 3675 <nil>
 }
+
+// TestNewServiceKeepsTable guards against a new service that interrupts those in force, and against slots of the new
+// service whose owners came before its configuration and are never heard of again.
+func TestNewServiceKeepsTable(t *testing.T) {
+	tab, clo := newTable(fptable.Config{})
+	apply(t, tab, whole(1, "one"))
+	early := owned(0, "three", 1)
+	early.Service = "demo.Late"
+	apply(t, tab, answer(2, false, early))
+	homes := []*fpoperator.Home{{Group: "oslo", LastSlot: 7}}
+	tab.Configure([]*fpoperator.Service{
+		{Name: "demo.Stock", Slots: 8, Homes: homes},
+		{Name: "demo.Late", Slots: 1, Homes: homes},
+	})
+	if _, err := route(tab, clo, "a"); err != nil {
+		t.Errorf("the service in force was interrupted: %v", err)
+	}
+	pol := tab.Poll("oslo")
+	if pol.Request().GetTable() != nil {
+		t.Error("the poll does not ask for the whole table")
+	}
+	res := whole(2, "one")
+	res.Entries = append(res.Entries, early)
+	if _, err := tab.Apply(pol, res); err != nil {
+		t.Fatal(err)
+	}
+	fli, err := tab.Route(context.Background(), "demo.Late", []byte("a"), "", clo.wall.Add(time.Second))
+	if err != nil || fli.Owner() != "three" {
+		t.Errorf("got %v, %v", fli, err)
+	}
+	if tab.Poll("oslo").Request().GetTable().GetIndex() != 2 {
+		t.Error("the poll asks for the whole table again")
+	}
+}
