fpserve: free a slot at once on an upstream that checks fences

Cause: after the loss of an upstream its requests counted as in flight until their deadlines, because a dead upstream confirms no cancellation. A poll reports such slots as busy, so the move of the slots would have waited for up to 30 s instead of the 2 s that the design allows. Ruled out: ending the flight for every upstream, because one that does not check fences may still run the request. Change: the flight ends at once where the upstream itself stops requests at the end of its lease and before it confirms a release; elsewhere it lasts until the cancellation is confirmed or the deadline has passed.

--- a/api/upstream/fpfence/fence_test.go
+++ b/api/upstream/fpfence/fence_test.go
@@ -285,6 +285,7 @@
 	if !cancel("a") {
 		t.Error("a request that had ended is not known")
 	}
+	ups.hold = false
 	if cancel("late") || !ups.send(t.Context(), "late", 3, 5) {
 		t.Error("a request that was cancelled before it came ran")
 	}
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -22,6 +22,7 @@
 	target  *Target
 	release func(Result)
 	id      string
+	freed   bool
 	conn    *fpconn.Conn
 	sent    time.Time
 	ctx     context.Context
@@ -162,10 +163,19 @@
 	}
 	att.release(res)
 	if res.Err != nil && fperror.KindOf(res.Err).Answer().Outcome() == fperror.NotRun {
-		att.target.done(0)
+		att.free(0)
 		return
 	}
-	att.target.done(res.Latency)
+	att.free(res.Latency)
+}
+
+// free tells once that the request no longer runs on the upstream's slot.
+func (att *attempt) free(busy time.Duration) {
+	if att.freed {
+		return
+	}
+	att.freed = true
+	att.target.done(busy)
 }
 
 func (tar *Target) done(busy time.Duration) {
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -66,10 +66,18 @@
 }
 
 // abandon cancels a request on its upstream in the background and then frees its place.
+//
+// An upstream that checks fences stops the requests of a slot by itself, before it confirms that it gave the slot up and
+// when its lease ends. The slot is therefore free of the request at once; otherwise the loss of an upstream would hold up
+// the move of its slots until the deadlines of the requests that were lost with it.
 func (att *attempt) abandon(err error) {
 	ser := att.exc.ser
+	fenced := att.target.Upstream.GetChecksFence()
+	if fenced {
+		att.free(time.Since(att.sent))
+	}
 	ser.leftover.Go(func() {
-		if !att.cancelUpstream() {
+		if !att.cancelUpstream() && !fenced {
 			att.waitForDeadline()
 		}
 		att.end(Result{Err: err})
--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -204,6 +204,36 @@
 	}
 }
 
+// TestUnconfirmedCancel guards against a slot that counts as free of a request that may still run, and against the loss of
+// an upstream that checks fences holding up the move of its slots.
+func TestUnconfirmedCancel(t *testing.T) {
+	const rest = 600 * time.Millisecond
+	for name, fenced := range map[string]bool{"checks fences": true, "does not": false} {
+		sta := newStandin(t, "one")
+		sta.setFault(func(*http.Request) fault { return runCut })
+		sta.forgets.Store(true)
+		sta.upstream.ChecksFence = fenced
+		done := make(chan time.Time, 1)
+		rou := newRouter(t, func(cfg *fpserve.Config) {
+			cfg.Route = func(context.Context, *fpserve.Call) (*fpserve.Target, error) {
+				return &fpserve.Target{
+					Upstream: sta.upstream,
+					Done:     func(time.Duration) { done <- time.Now() },
+				}, nil
+			}
+			cfg.Retry = nil
+		}, sta)
+		ctx, cancel := context.WithTimeout(t.Context(), rest)
+		start := time.Now()
+		_, _ = connect.NewClient[text, text](newCaller(t, true), rou.URL+"/demo.Keyed/Get").CallUnary(ctx, connect.NewRequest(&text{RequestId: "k"}))
+		cancel()
+		took := (<-done).Sub(start)
+		if early := took < rest-100*time.Millisecond; early != fenced {
+			t.Errorf("%s: the slot was free after %v", name, took)
+		}
+	}
+}
+
 // TestCheckBeforeForward guards against a request that is forwarded though its table expired after the lookup.
 func TestCheckBeforeForward(t *testing.T) {
 	sta := newStandin(t, "one")
--- a/internal/route/fpserve/standin_test.go
+++ b/internal/route/fpserve/standin_test.go
@@ -61,6 +61,7 @@
 	sends    map[string]int // by X-Send, which tells the sends of one request apart
 	header   http.Header    // of the latest request
 	canceled atomic.Int64
+	forgets  atomic.Bool // Cancel does not know the request
 	conns    sync.Map
 	block    chan struct{} // closed to let fault hang end
 }
@@ -210,7 +211,7 @@
 
 func (sta *standin) Cancel(context.Context, *connect.Request[fpcontract.CancelRequest]) (*connect.Response[fpcontract.CancelResponse], error) {
 	sta.canceled.Add(1)
-	return connect.NewResponse(&fpcontract.CancelResponse{Known: true}), nil
+	return connect.NewResponse(&fpcontract.CancelResponse{Known: !sta.forgets.Load()}), nil
 }
 
 // router is an entry VM's forwarding path before a set of upstreams.
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -308,8 +308,9 @@
 	}
 	next := &fpcontract.Upstream{Name: "one", Incarnation: 2, Address: msg.Address}
 	pos.Update([]*fpcontract.Upstream{next})
+	newer := pos.Pool(next)
 	pos.Update([]*fpcontract.Upstream{msg})
-	if pos.Pool(next) == poo {
+	if newer == poo || pos.Pool(next) != newer {
 		t.Error("the pool of an earlier incarnation is in use")
 	}
 }
