--- a/internal/config/fpschema/schema_test.go
+++ b/internal/config/fpschema/schema_test.go
@@ -194,7 +194,8 @@
 // expands without bound.
 func TestExtractRefuses(t *testing.T) {
 	met := compile(t, valid).Method("/demo.Stock/Put")
-	bomb := compress(make([]byte, 2*fpschema.MaxExtract))
+	zeros := make([]byte, 2*fpschema.MaxExtract)
+	bomb := compress(protowire.AppendBytes(protowire.AppendTag(request("a", 1, nil), 99, protowire.BytesType), zeros))
 	for name, bod := range map[string]fpschema.Body{
 		"empty":           {},
 		"empty key":       {Data: request("", 1, nil)},
