--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 )
@@ -21,10 +22,9 @@
 	target  *Target
 	release func(Result)
 	id      string
+	freed   bool
 	conn    *fpconn.Conn
 	sent    time.Time
-	ctx     context.Context
-	cancel  context.CancelFunc
 }
 
 // attempt makes one attempt. The duration is the wait that the upstream asked for.
@@ -84,8 +84,6 @@
 		return 0, err
 	}
 	att.conn = con
-	att.ctx, att.cancel = context.WithCancel(exc.ctx)
-	defer att.cancel()
 	req := att.request()
 	if err := att.check(); err != nil {
 		con.Release()
@@ -139,7 +137,7 @@
 		Body:          exc.cal.body.open(),
 		ContentLength: exc.cal.body.size,
 	}
-	return req.WithContext(att.ctx)
+	return req.WithContext(exc.ctx)
 }
 
 // setFence adds the headers that the router sends to upstreams.
@@ -161,10 +159,19 @@
 	}
 	att.release(res)
 	if res.Err != nil && fperror.KindOf(res.Err).Answer().Outcome() == fperror.NotRun {
-		att.target.done(0, res.Err)
+		att.free(0, res.Err)
+		return
+	}
+	att.free(res.Latency, res.Err)
+}
+
+// free tells once that the request no longer runs on the upstream's slot.
+func (att *attempt) free(busy time.Duration, err error) {
+	if att.freed {
 		return
 	}
-	att.target.done(res.Latency, res.Err)
+	att.freed = true
+	att.target.done(busy, err)
 }
 
 func (tar *Target) done(busy time.Duration, err error) {
