fpsystem: test the loss of leaders and races of operators

The harness counted a request as running on an upstream that had been killed or frozen while it ran, because no end was logged, so checkOwners would have reported two owners after such a loss. Kills and freezes are now taken into the log as the end of what the upstream ran; a later run at an old epoch still fails the test.

--- a/internal/bench/fpsystem/caller_test.go
+++ b/internal/bench/fpsystem/caller_test.go
@@ -162,11 +162,21 @@
 	return counts
 }
 
+// haltEvent marks the moment of a halt among the runs.
+const haltEvent = "halt"
+
 // checkOwners fails the test if two upstreams ran requests of one slot at the same time, or if an epoch was served by two
 // upstreams, or if a lower epoch was served after a higher one.
 func (sys *system) checkOwners() {
 	sys.t.Helper()
 	runs := sys.runs()
+	for _, hal := range sys.allHalts() {
+		runs = append(runs, fpupstream.Run{
+			Upstream: hal.upstream,
+			Event:    haltEvent,
+			At:       hal.at.UnixNano(),
+		})
+	}
 	sort.SliceStable(runs, func(one, two int) bool { return runs[one].At < runs[two].At })
 	type slotState struct {
 		running map[string]int
@@ -175,6 +185,11 @@
 	}
 	states := map[string]*slotState{}
 	for _, run := range runs {
+		if run.Event == haltEvent {
+			for _, sta := range states {
+				delete(sta.running, run.Upstream)
+			}
+		}
 		if run.Slot == "" {
 			continue
 		}
@@ -186,7 +201,7 @@
 			states[run.Slot] = sta
 		}
 		if run.Event == "end" {
-			sta.running[run.Upstream]--
+			sta.running[run.Upstream] = max(0, sta.running[run.Upstream]-1)
 			continue
 		}
 		sta.running[run.Upstream]++
--- a/internal/bench/fpsystem/process_test.go
+++ b/internal/bench/fpsystem/process_test.go
@@ -45,6 +45,8 @@
 	log  string
 	done chan struct{}
 	once sync.Once
+	// end is when the process was found to have ended. It is set before done is closed.
+	end time.Time
 }
 
 // start runs the daemon with the given arguments until the test ends.
@@ -69,6 +71,7 @@
 	}
 	go func() {
 		_ = cmd.Wait()
+		pro.end = time.Now()
 		_ = fil.Close()
 		close(pro.done)
 	}()
@@ -99,6 +102,9 @@
 	<-pro.done
 }
 
+// hasEnded reports whether the process has ended.
+func (pro *process) hasEnded() bool { return pro.ended(0) }
+
 // freeze stops the process without ending it, and thaw lets it go on.
 func (pro *process) freeze() { _ = pro.cmd.Process.Signal(syscall.SIGSTOP) }
 func (pro *process) thaw()   { _ = pro.cmd.Process.Signal(syscall.SIGCONT) }
--- a/internal/bench/fpsystem/system_test.go
+++ b/internal/bench/fpsystem/system_test.go
@@ -153,6 +153,15 @@
 
 	mutex sync.Mutex
 	pids  map[int]string
+	// halts are the moments at which upstreams stopped running requests: their processes ended or were frozen.
+	halts []halt
+	ups   []*process
+}
+
+// halt is a moment from which an upstream ran none of the requests that it had begun.
+type halt struct {
+	upstream string
+	at       time.Time
 }
 
 // newSystem starts the VMs of a layout and waits until a configuration is in force on all of them.
@@ -404,6 +413,37 @@
 	ups := sys.upstreams[name]
 	ups.running = start(sys.t, sys.folder, name, ups.args...)
 	sys.track(ups.running)
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	sys.ups = append(sys.ups, ups.running)
+}
+
+// freezeUpstream stops an upstream without ending it. A request that it was running makes no progress from then on; the
+// fence cancels it when the upstream is thawed after its lease.
+func (sys *system) freezeUpstream(name string) {
+	sys.upstreams[name].running.freeze()
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	sys.halts = append(sys.halts, halt{
+		upstream: name,
+		at:       time.Now(),
+	})
+}
+
+// allHalts returns the freezes of upstreams and the ends of their processes.
+func (sys *system) allHalts() []halt {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	all := append([]halt{}, sys.halts...)
+	for _, pro := range sys.ups {
+		if pro.hasEnded() {
+			all = append(all, halt{
+				upstream: pro.name,
+				at:       pro.end,
+			})
+		}
+	}
+	return all
 }
 
 // addPlans starts keyed upstreams, the first half in the first data centre.
