fpsystem: keep tables valid while the leader is frozen

A frozen leader made keys unserved although their owner was alive: fppeer asked the believed leader first in every poll and again, with the relay flag, in the last round of the same poll, so that one poll spent its timeout of 450 ms twice on the frozen VM and the table, valid for 1 s, expired. The election was ruled out (0.4 s by the log lines of the new leader), and so was a killed leader, where the dial fails at once.

A VM that failed to answer is now asked last for 2 s. A hint that names a silent leader is followed at once by a relay through the VM that gave it, and the relay ends when its VM no longer takes the leader for one. The own VM no longer relays its own calls.

--- a/internal/node/fpnode/peerservice.go
+++ b/internal/node/fpnode/peerservice.go
@@ -40,7 +40,36 @@
 		return connect.NewResponse(res), nil
 	}
 	req.Msg.Relay = false
-	return next.Poll(ctx, connect.NewRequest(req.Msg))
+	ctx, stop := per.whileLeads(ctx, group, res.GetLeader())
+	defer stop()
+	passed, err := next.Poll(ctx, connect.NewRequest(req.Msg))
+	if err != nil && ctx.Err() != nil {
+		return connect.NewResponse(&fpwire.PollResponse{
+			Leader: per.nod.leaderOf(group),
+		}), nil
+	}
+	return passed, err
+}
+
+// relayInterval is how often a relayed poll looks whether its leader still leads.
+const relayInterval = 20 * time.Millisecond
+
+// whileLeads returns a context that ends when this VM no longer takes another one for the leader of a group. Without it a
+// poll that is relayed to a leader that has just been lost would keep its caller from the next one.
+func (per *peerService) whileLeads(ctx context.Context, group, leader string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil && per.nod.leaderOf(group) == leader {
+			sleep(ctx, relayInterval)
+		}
+		cancel()
+	}()
+	return ctx, func() {
+		cancel()
+		<-done
+	}
 }
 
 // Submit proposes commands if this VM leads the group, and passes them on if the caller asks for that.
--- a/internal/node/fppeer/peers.go
+++ b/internal/node/fppeer/peers.go
@@ -42,14 +42,21 @@
 
 	mutex   sync.Mutex
 	leaders map[string]string
+	// silent holds, for each VM whose last call failed, until when it is asked last.
+	silent map[string]time.Time
 }
 
+// silentTime is how long a VM that failed to answer is asked after the others. A frozen VM or a silent cut costs every
+// call its whole timeout, and two of these are longer than the validity of a table.
+const silentTime = 2 * time.Second
+
 // New returns the clients of all VMs. It opens no connection.
 func New(cfg Config) *Peers {
 	prs := &Peers{
 		cfg:     cfg,
 		clients: map[string]Peer{},
 		leaders: map[string]string{},
+		silent:  map[string]time.Time{},
 	}
 	for vm, address := range cfg.Addresses {
 		if vm != cfg.VM {
@@ -80,22 +87,48 @@
 	prs.leaders[group] = vm
 }
 
-// candidates returns the VMs to ask in turn: the believed leader first, then the other voters.
+// isSilent reports whether a VM has recently failed to answer.
+func (prs *Peers) isSilent(vm string) bool {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	return time.Now().Before(prs.silent[vm])
+}
+
+// heard notes how a call to a VM ended.
+func (prs *Peers) heard(vm string, err error) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	if err == nil {
+		delete(prs.silent, vm)
+		return
+	}
+	prs.silent[vm] = time.Now().Add(silentTime)
+}
+
+// candidates returns the VMs to ask in turn: the believed leader first, then the other voters, and at last those that are
+// silent.
 func (prs *Peers) candidates(group string) []string {
-	voters := prs.cfg.Voters(group)
 	leader := prs.Leader(group)
-	if leader == "" {
-		return voters
+	all := []string{}
+	if leader != "" {
+		all = append(all, leader)
 	}
-	all := []string{leader}
-	for _, vm := range voters {
+	for _, vm := range prs.cfg.Voters(group) {
 		if vm != leader {
 			all = append(all, vm)
 		}
 	}
+	slices.SortStableFunc(all, func(one, two string) int { return rank(prs.isSilent(one)) - rank(prs.isSilent(two)) })
 	return all
 }
 
+func rank(last bool) int {
+	if last {
+		return 1
+	}
+	return 0
+}
+
 // request is one call to the leader of a group. It is idempotent, because it may be sent to several VMs.
 type request[T any] struct {
 	group string
@@ -110,19 +143,23 @@
 	prs   *Peers
 	req   request[T]
 	asked map[string]bool
-	last  error
+	// relays are the VMs that were asked to pass the call on.
+	relays map[string]bool
+	last   error
 	// maybe states that a VM may have taken the request though no answer came.
 	maybe bool
 }
 
-// follow calls the leader of a group. It starts with the VM that led it last, follows the hints of VMs that do not lead,
-// and at last asks the voters to relay the call, for the case that only a third VM reaches the leader. The error is of
-// kind NoQuorum when no VM took the request, and CommitUnknown when one may have taken it.
+// follow calls the leader of a group. It starts with the VM that led it last and follows the hints of VMs that do not
+// lead. A VM that names a leader which does not answer here is asked to relay the call, for the case that only a third VM
+// reaches the leader. The error is of kind NoQuorum when no VM took the request, and CommitUnknown when one may have taken
+// it.
 func follow[T any](ctx context.Context, prs *Peers, req request[T]) (T, error) {
 	sea := &search[T]{
-		prs:   prs,
-		req:   req,
-		asked: map[string]bool{},
+		prs:    prs,
+		req:    req,
+		asked:  map[string]bool{},
+		relays: map[string]bool{},
 	}
 	for _, vm := range prs.candidates(req.group) {
 		if answer, ok := sea.direct(ctx, vm); ok {
@@ -130,7 +167,10 @@
 		}
 	}
 	for _, vm := range prs.cfg.Voters(req.group) {
-		if answer, ok, _ := sea.try(ctx, vm, true); ok {
+		if prs.isSilent(vm) {
+			continue
+		}
+		if answer, ok := sea.relayed(ctx, vm); ok {
 			return answer, nil
 		}
 	}
@@ -142,30 +182,50 @@
 func (sea *search[T]) direct(ctx context.Context, vm string) (T, bool) {
 	for vm != "" && !sea.asked[vm] {
 		sea.asked[vm] = true
-		answer, ok, leader := sea.try(ctx, vm, false)
+		answer, ok, leader, err := sea.try(ctx, vm, false)
 		if ok {
+			sea.prs.heard(vm, nil)
 			sea.prs.setLeader(sea.req.group, vm)
 			return answer, true
 		}
+		// An error of a call whose caller has gone says nothing about the VM.
+		if ctx.Err() == nil {
+			sea.prs.heard(vm, err)
+		}
+		if leader != "" && sea.prs.isSilent(leader) {
+			return sea.relayed(ctx, vm)
+		}
 		vm = leader
 	}
 	var zero T
 	return zero, false
 }
 
-func (sea *search[T]) try(ctx context.Context, vm string, relay bool) (answer T, ok bool, leader string) {
+// relayed asks another VM, at most once, to pass the call on to the leader. A failure may be the leader's, so it says
+// nothing about the VM.
+func (sea *search[T]) relayed(ctx context.Context, vm string) (T, bool) {
+	if vm == sea.prs.cfg.VM || sea.relays[vm] {
+		var zero T
+		return zero, false
+	}
+	sea.relays[vm] = true
+	answer, ok, _, _ := sea.try(ctx, vm, true)
+	return answer, ok
+}
+
+func (sea *search[T]) try(ctx context.Context, vm string, relay bool) (answer T, ok bool, leader string, err error) {
 	per := sea.prs.Peer(vm)
 	if per == nil || ctx.Err() != nil {
-		return answer, false, ""
+		return answer, false, "", nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, sea.req.timeout)
 	defer cancel()
-	answer, ok, leader, err := sea.req.send(ctx, per, relay)
+	answer, ok, leader, err = sea.req.send(ctx, per, relay)
 	if err != nil {
 		sea.last = err
 		sea.maybe = sea.maybe || !isDialError(err)
 	}
-	return answer, ok && err == nil, leader
+	return answer, ok && err == nil, leader, err
 }
 
 func (sea *search[T]) failure() error {
