--- a/internal/node/fppeer/peers.go
+++ b/internal/node/fppeer/peers.go
@@ -42,12 +42,9 @@
 
 	mutex   sync.Mutex
 	leaders map[string]string
-<<<<<<< HEAD
 	voters  map[string][]string
-=======
 	// silent holds, for each VM whose last call failed, until when it is asked last.
 	silent map[string]time.Time
->>>>>>> faults
 }
 
 // silentTime is how long a VM that failed to answer is asked after the others. A frozen VM or a silent cut costs every
@@ -60,11 +57,8 @@
 		cfg:     cfg,
 		clients: map[string]Peer{},
 		leaders: map[string]string{},
-<<<<<<< HEAD
 		voters:  map[string][]string{},
-=======
 		silent:  map[string]time.Time{},
->>>>>>> faults
 	}
 	for vm, address := range cfg.Addresses {
 		if vm != cfg.VM {
@@ -95,7 +89,24 @@
 	prs.leaders[group] = vm
 }
 
-<<<<<<< HEAD
+// isSilent reports whether a VM has recently failed to answer.
+func (prs *Peers) isSilent(vm string) bool {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	return time.Now().Before(prs.silent[vm])
+}
+
+// heard notes how a call to a VM ended.
+func (prs *Peers) heard(vm string, err error) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	if err == nil {
+		delete(prs.silent, vm)
+		return
+	}
+	prs.silent[vm] = time.Now().Add(silentTime)
+}
+
 // Voters returns the VMs that vote in a group as far as this VM knows.
 func (prs *Peers) Voters(group string) []string {
 	prs.mutex.Lock()
@@ -113,42 +124,12 @@
 	prs.voters[group] = voters
 }
 
-// candidates returns the VMs to ask in turn: the believed leader, the other voters, and those of the settings, for the case
-// that all known voters have been replaced meanwhile.
+// candidates returns the VMs to ask in turn: the believed leader, the other voters, those of the settings, for the case that
+// all known voters have been replaced meanwhile, and at last those that are silent.
 func (prs *Peers) candidates(group string) []string {
 	var all []string
 	for _, vm := range slices.Concat([]string{prs.Leader(group)}, prs.Voters(group), prs.cfg.Voters(group)) {
 		if vm != "" && !slices.Contains(all, vm) {
-=======
-// isSilent reports whether a VM has recently failed to answer.
-func (prs *Peers) isSilent(vm string) bool {
-	prs.mutex.Lock()
-	defer prs.mutex.Unlock()
-	return time.Now().Before(prs.silent[vm])
-}
-
-// heard notes how a call to a VM ended.
-func (prs *Peers) heard(vm string, err error) {
-	prs.mutex.Lock()
-	defer prs.mutex.Unlock()
-	if err == nil {
-		delete(prs.silent, vm)
-		return
-	}
-	prs.silent[vm] = time.Now().Add(silentTime)
-}
-
-// candidates returns the VMs to ask in turn: the believed leader first, then the other voters, and at last those that are
-// silent.
-func (prs *Peers) candidates(group string) []string {
-	leader := prs.Leader(group)
-	all := []string{}
-	if leader != "" {
-		all = append(all, leader)
-	}
-	for _, vm := range prs.cfg.Voters(group) {
-		if vm != leader {
->>>>>>> faults
 			all = append(all, vm)
 		}
 	}
@@ -200,16 +181,11 @@
 			return answer, nil
 		}
 	}
-<<<<<<< HEAD
 	for _, vm := range prs.Voters(req.group) {
-		if answer, ok, _ := sea.try(ctx, vm, true); ok {
-=======
-	for _, vm := range prs.cfg.Voters(req.group) {
 		if prs.isSilent(vm) {
 			continue
 		}
 		if answer, ok := sea.relayed(ctx, vm); ok {
->>>>>>> faults
 			return answer, nil
 		}
 	}
