fpsystem: close connections whose origin is unknown

Cause: the table of sockets is not read atomically, so on a busy machine the origin of a connection could be missed, and the connection then passed through a cut. Ruled out: one proxy for each pair, because an upstream announces one address to all VMs. Change: the origin is looked up for up to 200 ms, and a connection without one is closed.

--- a/internal/bench/fpsystem/proxy_test.go
+++ b/internal/bench/fpsystem/proxy_test.go
@@ -177,13 +177,16 @@
 func (pro *proxy) serve(ctx context.Context, con net.Conn) {
 	lnk := &link{
 		pair: pair{
-			from: pro.network.identify(con),
+			from: pro.network.origin(ctx, con),
 			to:   pro.name,
 		},
 		silent: make(chan struct{}),
 	}
 	lnk.ends[forward] = con
 	defer lnk.close()
+	if lnk.pair.from == "" {
+		return
+	}
 	if !pro.network.waitFlowing(ctx, lnk, forward) {
 		return
 	}
@@ -205,6 +208,27 @@
 	pro.network.mutex.Unlock()
 }
 
+// origin returns the process that opened a connection, or "". The table of the kernel is not read atomically, so an entry may
+// be missed; a connection whose origin stays unknown is closed, because it must not pass through a cut.
+func (nwk *network) origin(ctx context.Context, con net.Conn) string {
+	for range originTries {
+		if name := nwk.identify(con); name != "" {
+			return name
+		}
+		select {
+		case <-time.After(originPause):
+		case <-ctx.Done():
+			return ""
+		}
+	}
+	return ""
+}
+
+const (
+	originTries = 20
+	originPause = 10 * time.Millisecond
+)
+
 func (lnk *link) close() {
 	for _, end := range lnk.ends {
 		if end != nil {
