--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -129,8 +129,6 @@
 	if !silent || cha.kind != repairVoter || cha.promoted {
 		return
 	}
-	// What the lost disk has acknowledged must not count for the learner.
-	delete(cor.lead.peers, cha.vm)
 	cor.proposeMember(&fpwire.Member{
 		Vm:      cha.vm,
 		Learner: true,
--- a/internal/control/fpgroup/lead.go
+++ b/internal/control/fpgroup/lead.go
@@ -106,8 +106,9 @@
 			continue
 		}
 		pee := old[one.GetVm()]
-		bound := one.GetIncarnation() != 0
-		if pee == nil || bound && pee.incarnation != one.GetIncarnation() || !bound && pee.incarnation != 0 && pee.boundRound == 0 {
+		// A voter that becomes a learner keeps its peer: if its disk was lost, another incarnation will answer, and if it
+		// was only silent, what it has acknowledged is still there.
+		if pee == nil || one.GetIncarnation() != 0 && pee.incarnation != one.GetIncarnation() {
 			pee = cor.newPeer(one)
 		}
 		cor.lead.peers[one.GetVm()] = pee
--- a/internal/control/fpgroup/rules_test.go
+++ b/internal/control/fpgroup/rules_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,6 +103,8 @@
 		msg.Body = &fpwire.GroupMessage_AppendRequest{AppendRequest: bod}
 	case *fpwire.AppendResponse:
 		msg.Body = &fpwire.GroupMessage_AppendResponse{AppendResponse: bod}
+	case *fpwire.SnapshotRequest:
+		msg.Body = &fpwire.GroupMessage_SnapshotRequest{SnapshotRequest: bod}
 	case *fpwire.TransferRequest:
 		msg.Body = &fpwire.GroupMessage_TransferRequest{TransferRequest: bod}
 	}
@@ -218,6 +222,48 @@
 	lab.want(lab.role == Leader, "the own vote counts after the sync")
 }
 
+// TestLeaderCountsItselfAfterSync guards against an acknowledgement that rests on one disk less than a majority.
+func TestLeaderCountsItselfAfterSync(t *testing.T) {
+	lab := newLab(t, true).elect(300).ack("b", incB, 1)
+	lab.want(lab.commit == 0, "the leader's own log counts only after the sync")
+	lab.sync()
+	lab.want(lab.commit == 1, "it counts after the sync")
+}
+
+// TestAppendNeedsSameLog guards against logs that differ before an acknowledged entry.
+func TestAppendNeedsSameLog(t *testing.T) {
+	lab := newLab(t, true)
+	lab.at(1000).from("b", incB, 1, &fpwire.AppendRequest{Entries: []*fpwire.Entry{{Term: 1, Index: 1, Command: []byte("x")}}}).sync()
+	lab.sent()
+	next := []*fpwire.Entry{{Term: 2, Index: 2, Command: []byte("y")}}
+	lab.from("c", incC, 2, &fpwire.AppendRequest{PrevTerm: 2, PrevIndex: 1, Entries: next}).sync()
+	lab.want(lab.log.last().Index == 1, "no entry after one of another term")
+	lab.from("c", incC, 2, &fpwire.AppendRequest{PrevTerm: 1, PrevIndex: 1, Entries: next}).sync()
+	lab.want(lab.log.last().Index == 2, "an entry after an equal one")
+}
+
+// TestSnapshotOfOneSender guards against a snapshot that is put together from two different ones.
+func TestSnapshotOfOneSender(t *testing.T) {
+	lab := newLab(t, true)
+	chunk := func(vm string, inc, term, offset uint64, done bool) {
+		lab.from(vm, inc, term, &fpwire.SnapshotRequest{
+			LastTerm:  1,
+			LastIndex: 9,
+			Members:   lab.members(),
+			Offset:    offset,
+			Data:      []byte(vm),
+			Done:      done,
+		})
+	}
+	lab.at(1000)
+	chunk("b", incB, 1, 0, false)
+	chunk("c", incC, 2, 1, true)
+	lab.want(lab.commit == 0, "chunks of two senders make no snapshot")
+	chunk("c", incC, 2, 0, false)
+	chunk("c", incC, 2, 1, true)
+	lab.want(lab.commit == 9 && string(lab.pending.Data) == "cc", "chunks of one sender make a snapshot")
+}
+
 // TestLostDiskHasNoVote guards against votes and acknowledgements of a voter that has lost its disk.
 func TestLostDiskHasNoVote(t *testing.T) {
 	lab := newLab(t, true)
@@ -389,6 +435,12 @@
 	lab.handleWritten()
 	lab.sync().at(2010).from("b", incB, 2, &fpwire.AppendRequest{Round: 2}).sync()
 	lab.want(len(lab.sent()) > 0, "it answers again when there is room")
+	lab.from("b", incB, 2, &fpwire.AppendRequest{PrevTerm: 1, PrevIndex: 2, Entries: []*fpwire.Entry{{Term: 2, Index: 3}}})
+	lab.takeBatch()
+	lab.handleStalled()
+	lab.sent()
+	lab.from("b", incB, 2, &fpwire.AppendRequest{Round: 3})
+	lab.want(len(lab.sent()) == 0, "a VM with a full disk does not answer heartbeats")
 }
 
 // TestReceiptTime guards against a promise that counts from before a pause between the reading of the clock and the
@@ -498,3 +550,100 @@
 	lab.at(1000).from("b", incB, 1, &fpwire.AppendRequest{}).from("c", incC, 1, &fpwire.AppendRequest{})
 	lab.want(lab.failure != nil, "a second leader in one term stops the group")
 }
+
+// TestSuspendedLeader guards against a process that acts on an old lease after a pause, also one during which its
+// monotonic clock stood still.
+func TestSuspendedLeader(t *testing.T) {
+	for _, suspend := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			wor := newWorld(t, 1, 3, nil)
+			nod := wor.leader()
+			gro := nod.group()
+			nod.pause(400*time.Millisecond, suspend)
+			if lea, err := gro.Lead(context.Background()); err == nil {
+				t.Errorf("suspend %t: a paused leader has the lease %+v", suspend, lea)
+			}
+			wor.stopAll()
+		})
+	}
+}
+
+// TestRestartKeepsTerm guards against a voter that forgets its term and vote.
+func TestRestartKeepsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wor := newWorld(t, 1, 3, nil)
+		nod := wor.leader()
+		sta := nod.group().Status()
+		time.Sleep(100 * time.Millisecond)
+		want := nod.log.HardState()
+		wor.stopAll()
+		nod.start()
+		if got := nod.log.HardState(); got != want || got.Term != sta.Term || got.Vote != nod.name {
+			t.Errorf("hard state %+v became %+v in term %d", want, got, sta.Term)
+		}
+		nod.stop()
+	})
+}
+
+// TestSecondLossAfterRepair guards against a repair that is reported too early: one disk after the other is lost, each
+// right after the repair of the one before, until none of the first disks is left.
+func TestSecondLossAfterRepair(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			wor := newWorld(t, seed, 3, nil)
+			for round := range 6 {
+				led := wor.leader()
+				for num := range 60 {
+					_ = wor.propose(led, 0, fmt.Sprintf("%d-%d", round, num))
+				}
+				lost := wor.nodes[wor.names[wor.draw(3)]]
+				lost.loseDisk()
+				wor.repair(lost.name)
+			}
+			wor.heal()
+			wor.stopAll()
+			for _, text := range wor.problems {
+				t.Errorf("seed %d: %s", seed, text)
+			}
+		})
+	}
+}
+
+// TestMembership guards against changes of the membership that lose commands or leave the group without a leader: it
+// grows from three to five voters and shrinks to other three, and each leader removes itself.
+func TestMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wor := newWorld(t, 1, 3, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		change := func(what func(gro *Group) error) {
+			led := wor.leader()
+			if err := what(led.group()); err != nil {
+				t.Errorf("%+v", err)
+			}
+			led = wor.leader()
+			for num := range 50 {
+				_ = wor.propose(led, 0, fmt.Sprintf("%d-%d", wor.clock.Load(), num))
+			}
+		}
+		for _, name := range []string{"vm-3", "vm-4"} {
+			wor.add(name).start()
+			change(func(gro *Group) error { return gro.AddVoter(ctx, name) })
+			change(func(gro *Group) error { return gro.AddVoter(ctx, name) })
+		}
+		for range 2 {
+			led := wor.leader()
+			change(func(gro *Group) error { return gro.RemoveVoter(ctx, led.name) })
+			led.stop()
+			wor.names = slices.DeleteFunc(wor.names, func(name string) bool { return name == led.name })
+		}
+		if sta := wor.leader().group().Status(); len(sta.Members) != 3 {
+			t.Errorf("members %+v", sta.Members)
+		}
+		wor.heal()
+		wor.stopAll()
+		for _, text := range wor.problems {
+			t.Error(text)
+		}
+	})
+}
--- a/internal/control/fplog/log_test.go
+++ b/internal/control/fplog/log_test.go
@@ -343,6 +343,50 @@
 	}
 }
 
+// TestRepeatedRecord guards against a record that appears twice and takes the hard state back.
+func TestRepeatedRecord(t *testing.T) {
+	dir := t.TempDir()
+	lg := mustOpen(t, dir, Config{})
+	start := lg.size
+	_ = lg.Append(nil, HardState{Term: 1})
+	end := lg.size
+	_ = lg.Append(nil, HardState{Term: 2})
+	path := lg.path(segmentPrefix, 1)
+	_ = lg.Close()
+	buf, _ := os.ReadFile(path)
+	_ = os.WriteFile(path, append(buf, buf[start:end]...), 0o600)
+	if lg, err := Open(dir, Config{}); err == nil {
+		t.Fatalf("the log opens with the hard state %+v", lg.HardState())
+	}
+}
+
+// TestInstalledSnapshot guards against entries that conflict with a snapshot and stay in the log.
+func TestInstalledSnapshot(t *testing.T) {
+	dir := t.TempDir()
+	var synced []string
+	lg := mustOpen(t, dir, Config{
+		Sync: func(fil *os.File) error {
+			synced = append(synced, filepath.Base(fil.Name()))
+			return fil.Sync()
+		},
+	})
+	_ = lg.Append([]*fpwire.Entry{entry(1, 1), entry(1, 2), entry(1, 3)}, HardState{Term: 1})
+	synced = nil
+	if err := lg.SaveSnapshot(Snapshot{Term: 2, Index: 2, Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	if name := filepath.Base(lg.path(snapshotPrefix, 2)) + ".tmp"; len(synced) == 0 || synced[0] != name {
+		t.Fatalf("%s was not synced before its renaming, but %v", name, synced)
+	}
+	if lg.LastIndex() != 2 || lg.FirstIndex() != 3 {
+		t.Fatalf("the log holds %d to %d", lg.FirstIndex(), lg.LastIndex())
+	}
+	_ = lg.Close()
+	if lg := mustOpen(t, dir, Config{}); lg.LastIndex() != 2 || lg.Snapshot().Term != 2 {
+		t.Fatalf("the log ends at %d after %+v", lg.LastIndex(), lg.Snapshot())
+	}
+}
+
 // FuzzSegment guards against a crash of the process on any content of a segment.
 func FuzzSegment(f *testing.F) {
 	lg, err := Open(filepath.Join(f.TempDir(), "log"), Config{})
