--- a/internal/control/fpgroup/apply.go
+++ b/internal/control/fpgroup/apply.go
@@ -27,9 +27,10 @@
 	gro     *Group
 	pos     Position
 	members *fpwire.Membership
-	// bytes and count measure what was applied since the last snapshot.
-	bytes int
-	count int
+	// bytes and count measure what was applied since the last snapshot, whose size was lastSize.
+	bytes    int
+	count    int
+	lastSize int
 }
 
 // View runs fn on the apply goroutine, with the position of the last applied entry, and reports whether it ran, which it
@@ -102,7 +103,7 @@
 			Index: snp.Index,
 		}
 		app.members = snp.Members
-		app.bytes, app.count = 0, 0
+		app.bytes, app.count, app.lastSize = 0, 0, len(snp.Data)
 	}
 	for pos, ent := range tas.entries {
 		res, err := app.applyEntry(ent)
@@ -144,10 +145,12 @@
 	return app.gro.cfg.Machine.Apply(app.pos, ent.GetCommand()), nil
 }
 
-// snapshotIfDue takes a snapshot when enough was applied since the last one, unless the saving goroutine is busy.
+// snapshotIfDue takes a snapshot when enough was applied since the last one, unless the saving goroutine is busy. Waiting
+// for half the size of the last snapshot bounds the bytes written for snapshots to twice the bytes of entries.
 func (app *applier) snapshotIfDue() {
 	gro := app.gro
-	if app.bytes < gro.cfg.SnapshotBytes && app.count < gro.cfg.SnapshotCount || gro.saves.Len() > 0 {
+	due := (app.bytes >= gro.cfg.SnapshotBytes || app.count >= gro.cfg.SnapshotCount) && app.bytes >= app.lastSize/2
+	if !due || gro.saves.Len() > 0 {
 		return
 	}
 	data, err := gro.cfg.Machine.Snapshot()
@@ -164,6 +167,6 @@
 		},
 	})
 	if taken {
-		app.bytes, app.count = 0, 0
+		app.bytes, app.count, app.lastSize = 0, 0, len(data)
 	}
 }
--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -1,6 +1,7 @@
 package fpgroup
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
@@ -26,7 +27,9 @@
 	round uint64
 	// promoted states that this change has made its VM a voter.
 	promoted bool
-	done     func(err error)
+	// abandoned is set when the caller has gone.
+	abandoned atomic.Bool
+	done      func(err error)
 }
 
 // startChange begins a membership change; done is called once with its end.
@@ -35,7 +38,7 @@
 		cha.done(fperror.New(fperror.NotLeader, "VM %s does not lead group %s", cor.cfg.VM, cor.cfg.Name))
 		return
 	}
-	if cor.change != nil {
+	if cor.change != nil && !cor.change.abandoned.Load() {
 		cha.done(fperror.New(fperror.VersionConflict, "the membership change of VM %s in group %s is not finished", cor.change.vm, cor.cfg.Name))
 		return
 	}
@@ -44,13 +47,6 @@
 	cor.advanceChange()
 }
 
-// cancelChange forgets a change whose caller has gone.
-func (cor *core) cancelChange(cha *change) {
-	if cor.change == cha {
-		cor.change = nil
-	}
-}
-
 func (cor *core) finishChange(err error) {
 	cha := cor.change
 	cor.change = nil
@@ -60,6 +56,11 @@
 // advanceChange takes the next step of the running change, if it is due.
 func (cor *core) advanceChange() {
 	cha := cor.change
+	if cha != nil && cha.abandoned.Load() {
+		// What is in the log stays; a resent request continues from there.
+		cor.change = nil
+		return
+	}
 	settled := cor.role == Leader && cor.commit >= cor.lead.firstIndex && cor.commit >= cor.log.membership().index
 	if cha == nil || !settled {
 		return
--- a/internal/control/fpgroup/config.go
+++ b/internal/control/fpgroup/config.go
@@ -42,7 +42,8 @@
 	Storage *fplog.Log
 	// Machine is restored by New from the newest snapshot, and then used by one goroutine.
 	Machine Machine
-	// Send delivers messages to a VM. It may block, which holds up messages to that VM only, and may lose them.
+	// Send delivers messages to a VM. It may block until ctx ends, which holds up messages to that VM only, and may lose
+	// messages.
 	Send func(ctx context.Context, vm string, msgs []*fpwire.GroupMessage)
 	// Log may be nil.
 	Log *zap.Logger
--- a/internal/control/fpgroup/group.go
+++ b/internal/control/fpgroup/group.go
@@ -261,7 +261,8 @@
 		vm:   vm,
 		done: func(err error) { result <- err },
 	}
-	return gro.call(ctx, result, func(cor *core) { cor.startChange(cha) }, func(cor *core) { cor.cancelChange(cha) })
+	defer cha.abandoned.Store(true)
+	return gro.call(ctx, result, func(cor *core) { cor.startChange(cha) })
 }
 
 // TransferLeadership hands the leadership to another voter, or to the most advanced one if vm is empty. It takes about
@@ -272,11 +273,11 @@
 		target: vm,
 		done:   func(err error) { result <- err },
 	}
-	return gro.call(ctx, result, func(cor *core) { cor.startTransfer(tra) }, nil)
+	return gro.call(ctx, result, func(cor *core) { cor.startTransfer(tra) })
 }
 
-// call runs a function on the core goroutine and waits for its result. When ctx ends first, it runs cancel there.
-func (gro *Group) call(ctx context.Context, result <-chan error, start, cancel func(cor *core)) error {
+// call runs a function on the core goroutine and waits for its result.
+func (gro *Group) call(ctx context.Context, result <-chan error, start func(cor *core)) error {
 	if err := gro.control.Put(ctx, start); err != nil {
 		return fperror.Wrap(fperror.NoQuorum, err, "group %s is busy", gro.cfg.Name)
 	}
@@ -284,9 +285,6 @@
 	case err := <-result:
 		return err
 	case <-ctx.Done():
-		if cancel != nil {
-			gro.control.Offer(cancel)
-		}
 		return fperror.Wrap(fperror.CommitUnknown, ctx.Err(), "change of group %s", gro.cfg.Name)
 	case <-gro.ended:
 		return fperror.New(fperror.CommitUnknown, "group %s has ended", gro.cfg.Name)
--- a/internal/control/fpgroup/harness_test.go
+++ b/internal/control/fpgroup/harness_test.go
@@ -41,7 +41,9 @@
 	ops      []porcupine.Operation
 	clock    atomic.Int64
 	problems []string
-	setup    func(cfg *Config)
+	// initial are the first voters, and losses limits the number of disks that are lost at the same time.
+	initial []string
+	losses  chan struct{}
 }
 
 // node is one VM. It survives restarts of its group.
@@ -60,6 +62,8 @@
 	frozen  atomic.Int64
 	crashed atomic.Bool
 	full    atomic.Bool
+	// restarting is held while the node is down.
+	restarting chan struct{}
 }
 
 // recorder is a machine that lists all commands.
@@ -77,7 +81,7 @@
 func (rec *recorder) Snapshot() ([]byte, error)     { return json.Marshal(rec.list) }
 func (rec *recorder) Restore(snapshot []byte) error { return json.Unmarshal(snapshot, &rec.list) }
 
-func newWorld(t *testing.T, seed uint64, count int, setup func(cfg *Config)) *world {
+func newWorld(t *testing.T, seed uint64, count int) *world {
 	wor := &world{
 		dir:     t.TempDir(),
 		random:  rand.New(rand.NewPCG(seed, 0)),
@@ -88,11 +92,12 @@
 		refused: map[string]bool{},
 		leases:  map[uint64]Leadership{},
 		leaders: map[uint64]string{},
-		setup:   setup,
+		losses:  make(chan struct{}, (count-1)/2),
 	}
 	for num := range count {
 		wor.add(fmt.Sprintf("vm-%d", num))
 	}
+	wor.initial = slices.Clone(wor.names)
 	for _, name := range wor.names {
 		wor.nodes[name].start()
 	}
@@ -105,6 +110,8 @@
 		name: name,
 		dir:  filepath.Join(wor.dir, name),
 		base: time.Now(),
+
+		restarting: make(chan struct{}, 1),
 	}
 	wor.nodes[name] = nod
 	wor.names = append(wor.names, name)
@@ -187,7 +194,7 @@
 func (nod *node) start() {
 	wor := nod.wor
 	nod.crashed.Store(false)
-	lg, err := fplog.Open(nod.dir, fplog.Config{
+	config := fplog.Config{
 		SegmentSize: 4096,
 		Write: func(fil *os.File, buf []byte) (int, error) {
 			if nod.full.Load() {
@@ -204,7 +211,12 @@
 			}
 			return nil
 		},
-	})
+	}
+	lg, err := fplog.Open(nod.dir, config)
+	for try := 0; err != nil && try < 100; try++ {
+		time.Sleep(50 * time.Millisecond)
+		lg, err = fplog.Open(nod.dir, config)
+	}
 	if err != nil {
 		wor.problem("%s: open: %+v", nod.name, err)
 		return
@@ -223,14 +235,11 @@
 		ChunkSize:     200,
 		clock:         nod.now,
 	}
-	for _, name := range wor.names[:min(3, len(wor.names))] {
+	for _, name := range wor.initial {
 		cfg.Voters = append(cfg.Voters, Member{
 			VM: name,
 		})
 	}
-	if wor.setup != nil {
-		wor.setup(&cfg)
-	}
 	gro, err := New(cfg)
 	if err != nil {
 		wor.problem("%s: new: %+v", nod.name, err)
@@ -457,7 +466,10 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		err := nod.group().Repair(ctx, name)
+		err := error(fperror.New(fperror.NotLeader, "down"))
+		if gro := nod.group(); gro != nil {
+			err = gro.Repair(ctx, name)
+		}
 		cancel()
 		if err == nil {
 			return
@@ -487,7 +499,7 @@
 	goal := nod.group().Status().Applied
 	for _, name := range wor.names {
 		gro := wor.nodes[name].group()
-		for try := 0; gro.Status().Applied.Index < goal.Index; try++ {
+		for try := 0; gro != nil && gro.Status().Applied.Index < goal.Index; try++ {
 			if try > 1000 {
 				wor.problem("%s stays at %s, before %s: %+v", name, gro.Status().Applied, goal, gro.Status())
 				break
--- a/internal/control/fpgroup/rules_test.go
+++ b/internal/control/fpgroup/rules_test.go
@@ -383,7 +383,7 @@
 	lab.want(findMember(lab.members(), "c") == nil, "the change starts then")
 	begin("b")
 	lab.want(findMember(lab.members(), "b") != nil && results["b"] != nil, "no change beside another one")
-	lab.cancelChange(lab.change)
+	lab.change.abandoned.Store(true)
 	begin("b")
 	lab.want(findMember(lab.members(), "b") != nil, "no change before the one before it is committed, even if its caller has gone")
 }
@@ -447,7 +447,7 @@
 // receipt of the leader's message.
 func TestReceiptTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, 1, 3, nil)
+		wor := newWorld(t, 1, 3)
 		led := wor.leader()
 		var nod *node
 		for _, name := range wor.names {
@@ -502,7 +502,7 @@
 // TestRejoinKeepsLeader guards against a VM that disturbs the group when it returns from a partition.
 func TestRejoinKeepsLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, 1, 3, nil)
+		wor := newWorld(t, 1, 3)
 		led := wor.leader()
 		term := led.group().Status().Term
 		for _, name := range wor.names {
@@ -524,7 +524,7 @@
 // TestLeadAfterFirstEntry guards against a new leader that answers before it has applied what was acknowledged earlier.
 func TestLeadAfterFirstEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, 1, 3, nil)
+		wor := newWorld(t, 1, 3)
 		nod := wor.leader()
 		first := make(chan uint64, 1)
 		_ = nod.group().control.Put(context.Background(), func(cor *core) {
@@ -556,7 +556,7 @@
 func TestSuspendedLeader(t *testing.T) {
 	for _, suspend := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			wor := newWorld(t, 1, 3, nil)
+			wor := newWorld(t, 1, 3)
 			nod := wor.leader()
 			gro := nod.group()
 			nod.pause(400*time.Millisecond, suspend)
@@ -571,7 +571,7 @@
 // TestRestartKeepsTerm guards against a voter that forgets its term and vote.
 func TestRestartKeepsTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, 1, 3, nil)
+		wor := newWorld(t, 1, 3)
 		nod := wor.leader()
 		sta := nod.group().Status()
 		time.Sleep(100 * time.Millisecond)
@@ -590,7 +590,7 @@
 func TestSecondLossAfterRepair(t *testing.T) {
 	for seed := range uint64(10) {
 		synctest.Test(t, func(t *testing.T) {
-			wor := newWorld(t, seed, 3, nil)
+			wor := newWorld(t, seed, 3)
 			for round := range 6 {
 				led := wor.leader()
 				for num := range 60 {
@@ -613,7 +613,7 @@
 // grows from three to five voters and shrinks to other three, and each leader removes itself.
 func TestMembership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, 1, 3, nil)
+		wor := newWorld(t, 1, 3)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		change := func(what func(gro *Group) error) {
--- a/internal/control/fpgroup/sim_test.go
+++ b/internal/control/fpgroup/sim_test.go
@@ -17,6 +17,8 @@
 	Kind   string
 	A, B   int
 	Length int
+	// Gap is the time in milliseconds until the next fault starts, whether this one has ended or not.
+	Gap int
 }
 
 func drawFaults(rt *rapid.T) []fault {
@@ -24,17 +26,18 @@
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) fault {
 		return fault{
 			Kind:   rapid.SampledFrom(kinds).Draw(rt, "kind"),
-			A:      rapid.IntRange(0, 2).Draw(rt, "a"),
-			B:      rapid.IntRange(0, 2).Draw(rt, "b"),
+			A:      rapid.IntRange(0, 4).Draw(rt, "a"),
+			B:      rapid.IntRange(0, 4).Draw(rt, "b"),
 			Length: rapid.IntRange(1, 900).Draw(rt, "ms"),
+			Gap:    rapid.IntRange(0, 900).Draw(rt, "gap"),
 		}
 	}), 1, 10).Draw(rt, "faults")
 }
 
 // inject runs one fault.
 func (wor *world) inject(flt fault) {
-	nod := wor.nodes[wor.names[flt.A]]
-	other := wor.names[flt.B]
+	nod := wor.nodes[wor.names[flt.A%len(wor.names)]]
+	other := wor.names[flt.B%len(wor.names)]
 	length := time.Duration(flt.Length) * time.Millisecond
 	switch flt.Kind {
 	case "cut", "oneWay":
@@ -50,17 +53,25 @@
 	case "pause", "suspend":
 		nod.pause(length, flt.Kind == "suspend")
 	case "restart":
+		nod.restarting <- struct{}{}
 		nod.stop()
 		time.Sleep(length / 4)
 		nod.start()
+		<-nod.restarting
 	case "loseDisk":
-		// The group tolerates one lost disk, so the next one may be lost only after the repair was reported done.
+		// The group tolerates the loss of a minority, so the next disk may be lost only after a repair was reported done.
+		wor.losses <- struct{}{}
+		nod.restarting <- struct{}{}
 		nod.loseDisk()
 		wor.repair(nod.name)
+		<-nod.restarting
+		<-wor.losses
 	case "transfer":
 		if led := wor.leader(); led != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-			_ = led.group().TransferLeadership(ctx, other)
+			if gro := led.group(); gro != nil {
+				_ = gro.TransferLeadership(ctx, other)
+			}
 			cancel()
 		}
 	case "loss":
@@ -81,12 +92,12 @@
 }
 
 // simulate runs clients during the faults and returns the problems found.
-func simulate(t *testing.T, seed uint64, faults []fault) (problems []string, ops int) {
+func simulate(t *testing.T, seed uint64, count int, faults []fault) (problems []string, ops int) {
 	synctest.Test(t, func(t *testing.T) {
-		wor := newWorld(t, seed, 3, nil)
+		wor := newWorld(t, seed, count)
 		ctx, cancel := context.WithCancel(context.Background())
 		watching, unwatch := context.WithCancel(context.Background())
-		var running, watcher sync.WaitGroup
+		var running, injected, watcher sync.WaitGroup
 		watcher.Go(func() { wor.watch(watching) })
 		wor.leader()
 		for number := range 3 {
@@ -94,8 +105,10 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 		for _, flt := range faults {
-			wor.inject(flt)
+			injected.Go(func() { wor.inject(flt) })
+			time.Sleep(time.Duration(flt.Gap) * time.Millisecond)
 		}
+		injected.Wait()
 		cancel()
 		running.Wait()
 		wor.heal()
@@ -113,7 +126,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		faults := drawFaults(rt)
-		problems, ops := simulate(t, seed, faults)
+		count := rapid.SampledFrom([]int{3, 5}).Draw(rt, "nodes")
+		problems, ops := simulate(t, seed, count, faults)
 		total += ops
 		if len(problems) > 0 {
 			rt.Fatalf("seed %d: %s", seed, strings.Join(problems[:min(5, len(problems))], "\n"))
--- a/internal/control/fplog/append.go
+++ b/internal/control/fplog/append.go
@@ -21,6 +21,9 @@
 	if err := lg.Failure(); err != nil {
 		return err
 	}
+	if err := lg.finishJoin(); err != nil {
+		return err
+	}
 	if err := lg.makeRoom(entries); err != nil {
 		return fperror.Wrap(fperror.StorageFailed, err, "new segment of log %s", lg.dir)
 	}
@@ -105,6 +108,9 @@
 	if err := lg.Failure(); err != nil {
 		return err
 	}
+	if err := lg.finishJoin(); err != nil {
+		return err
+	}
 	index = min(index, lg.Snapshot().Index, lg.LastIndex())
 	lg.memory.Lock()
 	if term, ok := lg.term(index); ok && index > lg.baseIndex {
--- a/internal/control/fplog/log.go
+++ b/internal/control/fplog/log.go
@@ -65,6 +65,8 @@
 	active   *os.File
 	size     int64
 	seq      uint64
+	// unjoined states that the log may lack the last entry of the newest snapshot, and must not be extended.
+	unjoined bool
 
 	// memory guards the fields below.
 	memory       sync.RWMutex
--- a/internal/control/fplog/log_test.go
+++ b/internal/control/fplog/log_test.go
@@ -372,8 +372,19 @@
 	})
 	_ = lg.Append([]*fpwire.Entry{entry(1, 1), entry(1, 2), entry(1, 3)}, HardState{Term: 1})
 	synced = nil
-	if err := lg.SaveSnapshot(Snapshot{Term: 2, Index: 2, Data: []byte("state")}); err != nil {
-		t.Fatal(err)
+	full := true
+	lg.cfg.Write = func(fil *os.File, buf []byte) (int, error) {
+		if full && strings.HasPrefix(filepath.Base(fil.Name()), segmentPrefix) {
+			return 0, errors.New("no space left")
+		}
+		return fil.Write(buf)
+	}
+	snp := Snapshot{Term: 2, Index: 2, Data: []byte("state")}
+	first := lg.SaveSnapshot(snp)
+	second := lg.Append([]*fpwire.Entry{entry(2, 4)}, HardState{Term: 2})
+	full = false
+	if third := lg.SaveSnapshot(snp); first == nil || second == nil || third != nil {
+		t.Fatalf("the log is extended before it follows the snapshot: %v, %v, %v", first, second, third)
 	}
 	if name := filepath.Base(lg.path(snapshotPrefix, 2)) + ".tmp"; len(synced) == 0 || synced[0] != name {
 		t.Fatalf("%s was not synced before its renaming, but %v", name, synced)
--- a/internal/control/fplog/snapshot.go
+++ b/internal/control/fplog/snapshot.go
@@ -43,13 +43,16 @@
 	}
 	old := lg.Snapshot().Index
 	if snp.Index <= old {
-		return nil
+		lg.files.Lock()
+		defer lg.files.Unlock()
+		return lg.finishJoin()
 	}
 	if err := lg.writeFile(filepath.Base(lg.path(snapshotPrefix, snp.Index)), buf); err != nil {
 		return fperror.Wrap(fperror.StorageFailed, err, "save snapshot of log %s", lg.dir)
 	}
 	lg.files.Lock()
 	defer lg.files.Unlock()
+	lg.unjoined = true
 	lg.memory.Lock()
 	lg.snapshotMeta = Snapshot{
 		Term:    snp.Term,
@@ -60,6 +63,14 @@
 	if old > 0 {
 		_ = os.Remove(lg.path(snapshotPrefix, old))
 	}
+	return lg.finishJoin()
+}
+
+// finishJoin joins the log to a snapshot that was stored while the disk had no room for the new segment.
+func (lg *Log) finishJoin() error {
+	if !lg.unjoined {
+		return nil
+	}
 	return lg.joinSnapshot()
 }
 
@@ -76,13 +87,14 @@
 	term, ok := lg.term(snp.Index)
 	if ok && term == snp.Term {
 		lg.memory.Unlock()
+		lg.unjoined = false
 		return nil
 	}
 	lg.memory.Unlock()
 	if err := lg.rotate(snp.Term, snp.Index, true); err != nil {
-		// The snapshot is in force, and the log before it must not be extended.
-		return lg.fail(err, "restart after a snapshot")
+		return fperror.Wrap(fperror.StorageFailed, err, "restart log %s after a snapshot", lg.dir)
 	}
+	lg.unjoined = false
 	lg.memory.Lock()
 	lg.baseTerm, lg.baseIndex, lg.entries = snp.Term, snp.Index, nil
 	lg.memory.Unlock()
