fpgroup: lock the map of simulated nodes

Ruled out: a race in the product; both sides were in the harness. Change: the map is read and written under the lock.

--- a/internal/control/fpgroup/harness_test.go
+++ b/internal/control/fpgroup/harness_test.go
@@ -113,6 +113,8 @@
 
 		restarting: make(chan struct{}, 1),
 	}
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
 	wor.nodes[name] = nod
 	wor.names = append(wor.names, name)
 	return nod
@@ -297,10 +299,14 @@
 		}
 		msg = proto.CloneOf(msg)
 		time.AfterFunc(delay, func() {
-			if tar := wor.nodes[vm]; tar != nil {
-				if gro := tar.group(); gro != nil {
-					gro.Step(msg)
-				}
+			wor.mutex.Lock()
+			tar := wor.nodes[vm]
+			wor.mutex.Unlock()
+			if tar == nil {
+				return
+			}
+			if gro := tar.group(); gro != nil {
+				gro.Step(msg)
 			}
 		})
 	}
