fpgroup: refuse removals that lose the quorum

Ruled out: waiting with the removal until the other voter answers; the operator should know at once. Change: RemoveVoter answers NoQuorum in that case; one load at a time; any role ends on a full disk; no copy. A test for a peer to which sending never returns.

--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -89,11 +89,26 @@
 		cor.finishChange(nil)
 	case !one.GetLearner() && len(votersOf(cor.members())) == 1:
 		cor.finishChange(fperror.New(fperror.InvalidRequest, "VM %s is the last voter of group %s", one.GetVm(), cor.cfg.Name))
+	case !cor.answers(withoutMember(cor.members(), one.GetVm())):
+		cor.finishChange(fperror.New(fperror.NoQuorum, "without VM %s, too few voters of group %s answer", one.GetVm(), cor.cfg.Name))
 	default:
 		cor.proposeMembership(withoutMember(cor.members(), one.GetVm()))
 	}
 }
 
+// answers reports whether a quorum of the given membership has answered within the last Lease. Otherwise the removal of a
+// voter could never be committed, and the group would stay without a quorum.
+func (cor *core) answers(mem *fpwire.Membership) bool {
+	count := 0
+	for _, one := range votersOf(mem) {
+		pee := cor.lead.peers[one.GetVm()]
+		if one.GetVm() == cor.cfg.VM || pee != nil && pee.acked && cor.now.mono-pee.ackAt < cor.cfg.Lease {
+			count++
+		}
+	}
+	return count >= quorumOf(mem)
+}
+
 // advanceLearner makes the learner a voter once it holds every committed entry. It must have answered a round that was
 // sent after the request and after its incarnation was learnt, because an older answer may come from a disk that was
 // lost since.
--- a/internal/control/fpgroup/core.go
+++ b/internal/control/fpgroup/core.go
@@ -308,7 +308,7 @@
 // handleStalled takes note that the disk refuses the batch for now. The VM then neither leads nor acknowledges.
 func (cor *core) handleStalled() {
 	cor.stalled = true
-	if cor.role == Leader {
+	if cor.role != Follower {
 		cor.becomeFollower(cor.hard.Term)
 	}
 }
--- a/internal/control/fpgroup/drive.go
+++ b/internal/control/fpgroup/drive.go
@@ -111,8 +111,8 @@
 	if tas := cor.takeTask(); tas != nil {
 		gro.tasks.Offer(gro.withWaiters(tas))
 	}
-	if cor.lead != nil && cor.lead.wantSnapshot {
-		gro.saves.Offer(saveTask{
+	if cor.lead != nil && cor.lead.wantSnapshot && !cor.lead.loading {
+		cor.lead.loading = gro.saves.Offer(saveTask{
 			load: true,
 		})
 	}
--- a/internal/control/fpgroup/harness_test.go
+++ b/internal/control/fpgroup/harness_test.go
@@ -44,6 +44,8 @@
 	// initial are the first voters, and losses limits the number of disks that are lost at the same time.
 	initial []string
 	losses  chan struct{}
+	// blocked is a VM to which sending never returns.
+	blocked string
 }
 
 // node is one VM. It survives restarts of its group.
@@ -284,8 +286,15 @@
 	nod.start()
 }
 
-func (nod *node) send(_ context.Context, vm string, msgs []*fpwire.GroupMessage) {
+func (nod *node) send(ctx context.Context, vm string, msgs []*fpwire.GroupMessage) {
 	wor := nod.wor
+	wor.mutex.Lock()
+	blocked := wor.blocked == vm
+	wor.mutex.Unlock()
+	if blocked {
+		<-ctx.Done()
+		return
+	}
 	for _, msg := range msgs {
 		wor.mutex.Lock()
 		lost := wor.cut[[2]string{nod.name, vm}] || wor.random.Float64() < wor.loss
--- a/internal/control/fpgroup/install.go
+++ b/internal/control/fpgroup/install.go
@@ -27,12 +27,13 @@
 	cor.sendChunk(pee)
 }
 
-// handleLoaded takes the snapshot that the driver has loaded.
+// handleLoaded takes the snapshot that the driver has loaded, which is empty when that failed.
 func (cor *core) handleLoaded(snp fplog.Snapshot) {
 	if cor.role != Leader {
 		return
 	}
 	cor.lead.wantSnapshot = false
+	cor.lead.loading = false
 	if snp.Index == 0 {
 		return
 	}
--- a/internal/control/fpgroup/lead.go
+++ b/internal/control/fpgroup/lead.go
@@ -24,9 +24,10 @@
 	// leaseAt is the time of the newest round that a quorum has acknowledged; leased is false before the first one.
 	leaseAt instant
 	leased  bool
-	// outgoing is the snapshot that is being sent to peers; wantSnapshot asks the driver to load it.
+	// outgoing is the snapshot that is being sent to peers; wantSnapshot asks the driver to load it, which sets loading.
 	outgoing     *fplog.Snapshot
 	wantSnapshot bool
+	loading      bool
 }
 
 type sentRound struct {
--- a/internal/control/fpgroup/rules_test.go
+++ b/internal/control/fpgroup/rules_test.go
@@ -377,15 +377,24 @@
 			done: func(err error) { results[vm] = err },
 		})
 	}
+	begin("a")
+	lab.ack("b", incB, 0)
+	begin("b")
+	lab.want(results["b"] != nil, "no change beside another one")
+	delete(results, "b")
+	lab.change.abandoned.Store(true)
 	begin("c")
 	lab.want(findMember(lab.members(), "c") != nil, "no change before an entry of the own term is committed")
 	lab.ack("b", incB, 1)
 	lab.want(findMember(lab.members(), "c") == nil, "the change starts then")
-	begin("b")
-	lab.want(findMember(lab.members(), "b") != nil && results["b"] != nil, "no change beside another one")
 	lab.change.abandoned.Store(true)
 	begin("b")
 	lab.want(findMember(lab.members(), "b") != nil, "no change before the one before it is committed, even if its caller has gone")
+	lab.sync().ack("b", incB, 2)
+	lab.want(results["b"] == nil && findMember(lab.members(), "b") == nil, "the next change starts then")
+	lab = newLab(t, true).elect(300).sync().ack("b", incB, 1)
+	begin("b")
+	lab.want(results["b"] != nil && findMember(lab.members(), "b") != nil, "no removal that leaves the group without a quorum")
 }
 
 // TestRepairNeedsFreshAnswers guards against a repair that is reported before the new disk holds every acknowledged entry.
@@ -568,6 +577,28 @@
 	}
 }
 
+// TestBlockedSend guards against a peer that holds up the core: sending to it never returns.
+func TestBlockedSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wor := newWorld(t, 1, 3)
+		led := wor.leader()
+		wor.mutex.Lock()
+		wor.blocked = wor.names[(slices.Index(wor.names, led.name)+1)%3]
+		wor.mutex.Unlock()
+		for num := range 3000 {
+			if err := wor.propose(led, 0, fmt.Sprint(num)); err != nil {
+				t.Fatalf("proposal %d: %v", num, err)
+			}
+		}
+		if sta := led.group().Status(); sta.Term != 1 || sta.Counters.StepDowns > 0 {
+			t.Errorf("%+v", sta)
+		}
+		for _, name := range wor.names {
+			wor.nodes[name].stop()
+		}
+	})
+}
+
 // TestRestartKeepsTerm guards against a voter that forgets its term and vote.
 func TestRestartKeepsTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/control/fpgroup/store.go
+++ b/internal/control/fpgroup/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
@@ -91,10 +92,7 @@
 	sto := gro.cfg.Storage
 	if tas.load {
 		snp, err := sto.ReadSnapshot()
-		if err != nil {
-			return err
-		}
-		return gro.control.Put(ctx, func(cor *core) { cor.handleLoaded(snp) })
+		return errors.CombineErrors(err, gro.control.Put(ctx, func(cor *core) { cor.handleLoaded(snp) }))
 	}
 	if err := sto.SaveSnapshot(tas.snapshot); err != nil {
 		return err
--- a/internal/control/fplog/append.go
+++ b/internal/control/fplog/append.go
@@ -40,8 +40,7 @@
 	lg.hard = hs
 	if len(entries) > 0 {
 		keep := entries[0].GetIndex() - lg.baseIndex - 1
-		// The capacity is cut, so that slices handed out earlier keep their content.
-		lg.entries = append(lg.entries[:keep:keep], entries...)
+		lg.entries = append(lg.entries[:keep], entries...)
 	}
 	return nil
 }
