--- a/internal/control/fpgroup/config.go
+++ b/internal/control/fpgroup/config.go
@@ -63,7 +63,8 @@
 	// SnapshotBytes and SnapshotCount are how many bytes or entries are applied before the next snapshot is taken.
 	SnapshotBytes int
 	SnapshotCount int
-	// KeepEntries is how many entries before a snapshot stay in the log for members that lag a little.
+	// KeepEntries is how many entries before a snapshot stay in the log for members that lag a little, if they are not
+	// larger than SnapshotBytes.
 	KeepEntries int
 
 	// The limits below are not settings; tests lower some of them.
--- a/internal/control/fpgroup/doc.go
+++ b/internal/control/fpgroup/doc.go
@@ -44,7 +44,8 @@
 //
 // A membership is in force as soon as it is in the log. Each change adds, removes or turns one voter, so that majorities
 // before and after it overlap, and starts only when the change before it and an entry of the leader's own term are
-// committed. A repair first turns the voter into a learner and then the learner into a voter.
+// committed. A repair first turns the voter into a learner and then the learner into a voter. A VM that was removed is not
+// told; the others refuse its pre-votes while they have a leader.
 //
 // # Transfer of leadership
 //
--- a/internal/control/fpgroup/store.go
+++ b/internal/control/fpgroup/store.go
@@ -66,6 +66,27 @@
 	return sto.Append(bat.entries, bat.hard)
 }
 
+// keepAfter returns the index after which the log keeps entries beside a snapshot: KeepEntries of them, within the size of
+// SnapshotBytes.
+func (gro *Group) keepAfter(index uint64) uint64 {
+	sto := gro.cfg.Storage
+	first := max(sto.FirstIndex(), index-min(index, uint64(gro.cfg.KeepEntries))+1)
+	entries, err := sto.Entries(first, index+1)
+	if err != nil {
+		return index
+	}
+	size := 0
+	for len(entries) > 0 {
+		size += entrySize(entries[len(entries)-1])
+		if size > gro.cfg.SnapshotBytes {
+			break
+		}
+		entries = entries[:len(entries)-1]
+		index--
+	}
+	return index
+}
+
 // saveTask asks the saving goroutine to store a snapshot, or to load the newest one for a peer.
 type saveTask struct {
 	load     bool
@@ -97,7 +118,7 @@
 	if err := sto.SaveSnapshot(tas.snapshot); err != nil {
 		return err
 	}
-	keepAfter := tas.snapshot.Index - min(tas.snapshot.Index, uint64(gro.cfg.KeepEntries))
+	keepAfter := gro.keepAfter(tas.snapshot.Index)
 	if err := sto.Compact(keepAfter); err != nil {
 		return fperror.Wrap(fperror.StorageFailed, err, "compact the log")
 	}
