--- a/internal/control/fplog/append.go
+++ b/internal/control/fplog/append.go
@@ -21,6 +21,9 @@
 	if err := lg.Failure(); err != nil {
 		return err
 	}
+	if err := lg.finishJoin(); err != nil {
+		return err
+	}
 	if err := lg.makeRoom(entries); err != nil {
 		return fperror.Wrap(fperror.StorageFailed, err, "new segment of log %s", lg.dir)
 	}
@@ -37,8 +40,7 @@
 	lg.hard = hs
 	if len(entries) > 0 {
 		keep := entries[0].GetIndex() - lg.baseIndex - 1
-		// The capacity is cut, so that slices handed out earlier keep their content.
-		lg.entries = append(lg.entries[:keep:keep], entries...)
+		lg.entries = append(lg.entries[:keep], entries...)
 	}
 	return nil
 }
@@ -105,6 +107,9 @@
 	if err := lg.Failure(); err != nil {
 		return err
 	}
+	if err := lg.finishJoin(); err != nil {
+		return err
+	}
 	index = min(index, lg.Snapshot().Index, lg.LastIndex())
 	lg.memory.Lock()
 	if term, ok := lg.term(index); ok && index > lg.baseIndex {
