--- a/internal/control/fpclaim/set_test.go
+++ b/internal/control/fpclaim/set_test.go
@@ -184,8 +184,16 @@
 	}
 	check("first", one, fpwire.ClaimState_CLAIM_STATE_GRANTED, 0)
 	check("same attempt", one, fpwire.ClaimState_CLAIM_STATE_GRANTED, 0)
+	restarted := command(id, "v", 1, startMS)
+	restarted.HolderIncarnation = 1
+	check("same attempt of a restarted holder", restarted, fpwire.ClaimState_CLAIM_STATE_PENDING, 0)
+	if err := set.Settle(settlement(restarted, fpwire.Outcome_OUTCOME_NOT_RUN, "")); !fperror.Is(err, fperror.VersionConflict) {
+		t.Errorf("a restarted holder settled: %v", err)
+	}
 	check("other attempt", command(id, "w", 2, startMS+6000), fpwire.ClaimState_CLAIM_STATE_PENDING, 0)
 	check("after deadline and grace", other, fpwire.ClaimState_CLAIM_STATE_UNKNOWN, 0)
+	_ = set.Settle(settlement(one, fpwire.Outcome_OUTCOME_NOT_RUN, ""))
+	check("not run, after a caller was told unknown", other, fpwire.ClaimState_CLAIM_STATE_UNKNOWN, 0)
 	check("clock behind", command(id, "w", 2, startMS), fpwire.ClaimState_CLAIM_STATE_UNKNOWN, 0)
 	if err := set.Settle(settlement(one, fpwire.Outcome_OUTCOME_RAN, "answer")); err != nil {
 		t.Error(err)
