fpmachine: read quarantine and configuration without the lock

Cause: PollAnswer calls Quarantined within Read, and a read lock that is taken twice can deadlock with a waiting writer. Ruled out: a second accessor for use within Read. Change: both are published in an atomic pointer. Announcements remembers when an incarnation was first heard, so that a hold-down does not start anew with each leader. Conclusion: a Keeper may use Quarantined directly.

--- a/internal/control/fpgrant/announcements.go
+++ b/internal/control/fpgrant/announcements.go
@@ -20,6 +20,7 @@
 
 type heard struct {
 	announce *fpcontract.AnnounceRequest
+	first    time.Time
 	at       time.Time
 }
 
@@ -32,6 +33,7 @@
 	list := ans.names[name]
 	one := heard{
 		announce: ann,
+		first:    now,
 		at:       now,
 	}
 	last := len(list) - 1
@@ -42,6 +44,7 @@
 		}
 		list = append(list, one)
 	case list[last].incarnation() == ann.GetUpstream().GetIncarnation():
+		one.first = list[last].first
 		list[last] = one
 	}
 	ans.names[name] = list
@@ -58,6 +61,7 @@
 			delete(ans.names, name)
 		}
 		for _, hea := range list {
+			kee.Announce(hea.first, hea.announce) // a hold-down counts from the first announcement
 			kee.Announce(hea.at, hea.announce)
 		}
 	}
--- a/internal/control/fpgrant/table.go
+++ b/internal/control/fpgrant/table.go
@@ -250,6 +250,9 @@
 	if !exact {
 		at--
 	}
+	if at < 0 {
+		return splitName{}
+	}
 	spa := tab.spans[at]
 	return splitName{
 		service: spa.service,
--- a/internal/control/fpmachine/machine.go
+++ b/internal/control/fpmachine/machine.go
@@ -7,6 +7,7 @@
 	"encoding/gob"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,15 +32,33 @@
 	claims        *fpclaim.Set
 	configuration *fpconfig.State
 	quarantine    quarantine
+	// published is what Quarantined and Configuration return. It needs no lock, so both may be called within Read.
+	published atomic.Pointer[published]
+}
+
+type published struct {
+	quarantined   []string
+	version       fpgrant.Position
+	configuration *fpoperator.Configuration
 }
 
 // New returns an empty machine.
 func New(cfg Config) *Machine {
-	return &Machine{
+	mac := &Machine{
 		table:         &fpgrant.Table{},
 		claims:        fpclaim.New(cfg.Claims),
 		configuration: &fpconfig.State{},
 	}
+	mac.publish()
+	return mac
+}
+
+func (mac *Machine) publish() {
+	mac.published.Store(&published{
+		quarantined:   slices.Clone(mac.quarantine.list),
+		version:       fpgrant.Position(mac.configuration.Version()),
+		configuration: mac.configuration.Configuration(),
+	})
 }
 
 // Apply executes an encoded Command and returns the encoded CommandResult. It is deterministic.
@@ -74,6 +93,7 @@
 	case *fpwire.Command_Configure:
 		out := mac.configuration.Apply(fpconfig.Version(pos), one.Configure)
 		res.Error, res.Message, res.Version = out.Kind, out.Message, out.Accepted.Wire()
+		mac.publish()
 	case *fpwire.Command_UpdateSlots:
 		fail(res, mac.table.Apply(pos, one.UpdateSlots))
 		res.Version = mac.table.Version().Version()
@@ -91,6 +111,7 @@
 	case *fpwire.Command_LiftQuarantine:
 		if mac.quarantine.lift(one.LiftQuarantine.GetDigest()) {
 			mac.table.Touch(pos)
+			mac.publish()
 		}
 		res.Version = mac.table.Version().Version()
 	default:
@@ -116,12 +137,14 @@
 	held, fresh := mac.quarantine.report(cmd)
 	if fresh {
 		mac.table.Touch(pos)
+		mac.publish()
 	}
 	res.Quarantined = held
 	res.Version = mac.table.Version().Version()
 }
 
-// Read calls fn while no command is applied, with the applied position. fn must not change or keep what it is given.
+// Read calls fn while no command is applied, with the applied position. fn must not change or keep what it is given. Of
+// the Machine's methods it may call only Table, Quarantined and Configuration, since the others take the same lock.
 func (mac *Machine) Read(fn func(applied fpgrant.Position, tab *fpgrant.Table)) {
 	mac.mu.RLock()
 	defer mac.mu.RUnlock()
@@ -133,9 +156,8 @@
 
 // Configuration returns the configuration in force and its version; nil before the first. It must not be changed.
 func (mac *Machine) Configuration() (fpgrant.Position, *fpoperator.Configuration) {
-	mac.mu.RLock()
-	defer mac.mu.RUnlock()
-	return fpgrant.Position(mac.configuration.Version()), mac.configuration.Configuration()
+	pub := mac.published.Load()
+	return pub.version, pub.configuration
 }
 
 // KnownServices returns the configuration against which a new one is validated; see fpconfig.State.Known.
@@ -152,12 +174,8 @@
 	return mac.claims.Len(), mac.claims.AnswerBytes()
 }
 
-// Quarantined returns the digests of the quarantined requests, ordered.
-func (mac *Machine) Quarantined() []string {
-	mac.mu.RLock()
-	defer mac.mu.RUnlock()
-	return slices.Clone(mac.quarantine.list)
-}
+// Quarantined returns the digests of the quarantined requests, ordered. They must not be changed.
+func (mac *Machine) Quarantined() []string { return mac.published.Load().quarantined }
 
 // machineImage is the stored form of a Machine.
 type machineImage struct {
@@ -212,5 +230,6 @@
 	}
 	mac.applied = img.Applied
 	mac.quarantine.restore(img.Quarantine)
+	mac.publish()
 	return nil
 }
--- a/internal/control/fpmachine/machine_test.go
+++ b/internal/control/fpmachine/machine_test.go
@@ -163,6 +163,9 @@
 		if err := two.mac.Restore(data); err != nil {
 			t.Fatal(err)
 		}
+		if !slices.Equal(one.mac.Quarantined(), two.mac.Quarantined()) {
+			t.Errorf("restored quarantine %v, want %v", two.mac.Quarantined(), one.mac.Quarantined())
+		}
 		if other, _ := one.mac.Snapshot(); !bytes.Equal(data, other) {
 			t.Errorf("replicas differ after command %d", i)
 		}
