fpgrant: propose no more slots than may be undecided

Cause: with 262,144 slots to move, each tick looked again at every slot of every lost upstream, and weighed slots whose proposal was then not taken. Ruled out: a larger bound of undecided slots, because commands queue in the log. Change: the passes over lost, ready and free slots end when the bound is reached; a test of MoveSlots; a benchmark of the loss of a quarter of the upstreams.

--- a/internal/control/fpgrant/churn_test.go
+++ b/internal/control/fpgrant/churn_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -476,3 +477,23 @@
 	}
 	return count
 }
+
+// TestMoveSlots guards the operator's move: to an upstream that can take the slots, and only of slots homed here.
+func TestMoveSlots(t *testing.T) {
+	lab := newLab(8, names(2)...)
+	before := lab.owners()
+	count, err := lab.kee.MoveSlots(lab.now, modelService, []uint32{0, 1, 2, 3, 4, 5, 6, 7}, "u0001")
+	if err != nil || count != 4 {
+		t.Errorf("%d slots begin to move, %v; want 4", count, err)
+	}
+	lab.run(500 * time.Millisecond)
+	if got := lab.tab.Owned("u0001"); got != 8 || moved(before, lab.owners()) != 4 {
+		t.Errorf("the upstream has %d slots, %d moved", got, moved(before, lab.owners()))
+	}
+	if _, err := lab.kee.MoveSlots(lab.now, modelService, []uint32{1}, "u0009"); !fperror.Is(err, fperror.NoUpstream) {
+		t.Errorf("unknown upstream: %v", err)
+	}
+	if _, err := lab.kee.MoveSlots(lab.now, modelService, []uint32{8}, "u0000"); !fperror.Is(err, fperror.InvalidRequest) {
+		t.Errorf("slot of another group: %v", err)
+	}
+}
--- a/internal/control/fpgrant/keeper.go
+++ b/internal/control/fpgrant/keeper.go
@@ -79,7 +79,13 @@
 	Next time.Time
 }
 
-// Keeper decides as a group's leader during one term. It is not safe for concurrent use, and it reads the Table in every
+// Keeper decides as a group's leader during one term. The leader calls NewKeeper, Configure and Announcements.Replay after
+// its election. From then on it passes each announcement, answer to a grant and poll to the Keeper, and ticks: it sends
+// the grants and proposes the updates of the Actions, and answers polls with PollAnswer. An upstream must meet four rules
+// for one owner to hold: it refuses a lower term, and within a term a version below the highest one it had; it reports
+// version 0 once its lease has ended; it confirms a removed slot only when no request for it runs any more.
+//
+// A Keeper is not safe for concurrent use, and it reads the Table in every
 // method, so the caller must not change the Table at the same time. A Keeper must be dropped when its term ends.
 type Keeper struct {
 	cfg     KeeperConfig
--- a/internal/control/fpgrant/move.go
+++ b/internal/control/fpgrant/move.go
@@ -202,11 +202,16 @@
 	for _, hol := range kee.order {
 		lost := now.After(hol.leaseEnd) && !kee.alive(now, hol) && kee.relearned(now, hol)
 		leaving := hol.upstream != nil && kee.leaving(hol)
-		if !lost && !leaving && !hol.forfeited {
+		if !lost && !leaving && !hol.forfeited || kee.full() {
 			continue
 		}
+		wasForfeited, wasOwing := hol.forfeited, hol.owing
 		hol.forfeited, hol.owing = false, false
 		kee.cfg.Table.held(hol.name, func(ref uint32) {
+			if kee.full() {
+				hol.forfeited, hol.owing = wasForfeited, wasOwing
+				return
+			}
 			sta := kee.stages[ref]
 			forfeit := sta&flagForfeit != 0
 			hol.forfeited = hol.forfeited || forfeit
@@ -227,17 +232,17 @@
 	return hol.upstream != nil || now.Sub(kee.cfg.HearsSince) > relearn
 }
 
-// release proposes the state releasing for an owned cell.
-func (kee *Keeper) release(ref uint32, target string) {
+// release proposes the state releasing for an owned cell and reports whether the proposal was taken.
+func (kee *Keeper) release(ref uint32, target string) bool {
 	ent := kee.cfg.Table.entry(ref)
 	ent.State = fpwire.SlotState_SLOT_STATE_RELEASING
 	ent.Target = target
-	kee.propose(ref, ent)
+	return kee.propose(ref, ent)
 }
 
 // propose adds an update to the next commands, unless too many are undecided.
 func (kee *Keeper) propose(ref uint32, ent *fpwire.SlotEntry) bool {
-	if kee.pending >= maxPending {
+	if kee.full() {
 		return false
 	}
 	last := len(kee.requests) - 1
@@ -258,6 +263,9 @@
 	return true
 }
 
+// full reports whether as many slots are in undecided proposals as may be.
+func (kee *Keeper) full() bool { return kee.pending >= maxPending }
+
 // expect counts a cell's weight for its future owner while the proposal is undecided.
 func (kee *Keeper) expect(ref uint32, name string) {
 	kee.incoming[ref] = name
@@ -370,8 +378,9 @@
 		if cel.state != stateOwned || kee.stages[ref] != stageStill || kee.cfg.Table.owners[cel.owner].name == name {
 			continue
 		}
-		kee.release(ref, name)
-		count++
+		if kee.release(ref, name) {
+			count++
+		}
 	}
 	return count, nil
 }
--- a/internal/control/fpgrant/place.go
+++ b/internal/control/fpgrant/place.go
@@ -18,7 +18,11 @@
 	}
 	ready := kee.ready
 	kee.ready = nil
-	for _, ref := range ready {
+	for i, ref := range ready {
+		if kee.full() {
+			kee.ready = append(kee.ready, ready[i:]...)
+			return
+		}
 		if kee.stages[ref].step() != stageReady || kee.stages[ref]&flagPending != 0 {
 			continue
 		}
@@ -68,6 +72,10 @@
 	}
 	delete(kee.free, id)
 	for i, ref := range refs {
+		if kee.full() {
+			kee.free[id] = append(kee.free[id], refs[i:]...)
+			return
+		}
 		cel := &kee.cfg.Table.cells[ref]
 		if cel.state != stateFree || kee.stages[ref]&flagPending != 0 {
 			continue
@@ -76,10 +84,7 @@
 		ent.State = fpwire.SlotState_SLOT_STATE_OWNED
 		ent.Epoch++
 		ent.Owner = queue(service).take(kee.weight(ref))
-		if !kee.propose(ref, ent) {
-			kee.free[id] = append(kee.free[id], refs[i:]...)
-			return
-		}
+		kee.propose(ref, ent)
 	}
 }
 
--- a/internal/control/fpgrant/split.go
+++ b/internal/control/fpgrant/split.go
@@ -235,7 +235,7 @@
 
 // proposeSplit proposes one command for a slot and the key that is split from it or merged into it.
 func (kee *Keeper) proposeSplit(ref uint32, cells []uint32, ent *fpwire.SlotEntry) bool {
-	if kee.pending >= maxPending {
+	if kee.full() {
 		return false
 	}
 	upd := &fpwire.UpdateSlots{
--- a/internal/control/fpgrant/table_test.go
+++ b/internal/control/fpgrant/table_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -321,3 +322,52 @@
 		})
 	}
 }
+
+// BenchmarkLoss measures the ticks that move the slots of a quarter of the upstreams, as after the loss of a data centre.
+func BenchmarkLoss(b *testing.B) {
+	for _, slots := range []uint32{1 << 16, 1 << 20} {
+		b.Run(fmt.Sprintf("upstreams=1000/slots=%d", slots), func(b *testing.B) {
+			var longest, sum, moving time.Duration
+			for b.Loop() {
+				tab, kee, now := bigTable(b, slots, 1000)
+				index := tab.Version().Index
+				step := func(now time.Time, lost bool) time.Duration {
+					kee.Poll(now, &fpwire.PollRequest{
+						Vm:    "v",
+						Table: tab.Version().Version(),
+					})
+					begin := time.Now()
+					act := kee.Tick(now)
+					took := time.Since(begin)
+					for _, upd := range act.Proposals {
+						index++
+						if err := tab.Apply(Position{Term: 2, Index: index}, upd); err != nil {
+							b.Fatal(err)
+						}
+					}
+					if lost {
+						act.Grants = slices.DeleteFunc(act.Grants, func(gra SendGrant) bool {
+							return gra.Upstream.GetName() < "u0250"
+						})
+					}
+					answerAll(kee, now, act)
+					return took
+				}
+				for range 60 {
+					now = now.Add(moveCheck)
+					step(now, false)
+				}
+				begin := now
+				for now.Sub(begin) < time.Minute && (now == begin || len(kee.moving) > 0 || tab.Owned("u0007") > 0) {
+					now = now.Add(moveCheck)
+					took := step(now, true)
+					longest, sum = max(longest, took), sum+took
+				}
+				moving += now.Sub(begin)
+			}
+			b.ReportMetric(float64(longest.Milliseconds()), "ms/longest-tick")
+			b.ReportMetric(float64(sum.Milliseconds())/float64(b.N), "ms/all-ticks")
+			b.ReportMetric(float64(moving.Milliseconds())/float64(b.N), "simulated-ms-until-owned")
+		})
+	}
+}
