fpgrant: test a slot that is given to an upstream just before its restart

Ruled out: more checks, because the case needs a commit within milliseconds of a restart. Change: TestLateCommit. Conclusion: the rule is covered.

--- a/internal/control/fpgrant/churn_test.go
+++ b/internal/control/fpgrant/churn_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
@@ -497,3 +498,44 @@
 		t.Errorf("slot of another group: %v", err)
 	}
 }
+
+// TestLateCommit guards against a slot that was given to an upstream just before it restarted: entry VMs send its requests
+// to the earlier process until they get the new address, so it must go through a release, too.
+func TestLateCommit(t *testing.T) {
+	lab := newLab(8, names(2)...)
+	ups := proto.Clone(lab.live["u0000"].ups).(*fpcontract.Upstream)
+	ups.ChecksFence = false
+	lab.live["u0000"].ups = ups
+	lab.announce(lab.live["u0000"])
+	var number uint32
+	for num, name := range lab.owners() {
+		if name == "u0001" {
+			number = num
+		}
+	}
+	if count, err := lab.kee.MoveSlots(lab.now, modelService, []uint32{number}, "u0000"); count != 1 || err != nil {
+		t.Fatal(count, err)
+	}
+	var late *fpwire.UpdateSlots
+	lab.apply = func(upd *fpwire.UpdateSlots) bool {
+		if ent := upd.GetUpdates()[0].GetEntry(); late == nil && ent.GetState() == owned {
+			late = upd
+			return false
+		}
+		return true
+	}
+	for late == nil {
+		lab.step()
+	}
+	lab.join("u0000", 2)
+	lab.live["u0000"].ups.ChecksFence = false
+	lab.index++
+	if err := lab.tab.Apply(Position{Term: lab.term, Index: lab.index}, late); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := lab.tab.Slot(modelService, number, "")
+	lab.run(40 * time.Second) // a new leader waits a largest deadline for unknown VMs
+	if after, _ := lab.tab.Slot(modelService, number, ""); after.Owner != "u0000" || after.Epoch <= before.Epoch {
+		t.Errorf("the slot was not released by the restart: %+v", after)
+	}
+}
--- a/internal/control/fpgrant/lab_test.go
+++ b/internal/control/fpgrant/lab_test.go
@@ -20,7 +20,7 @@
 	index  uint64
 	live   map[string]*process
 	table  Position
-	busy   bool // report load on every slot
+	apply  func(*fpwire.UpdateSlots) bool // nil: commit every proposal
 	loads  func() []*fpwire.SlotLoad
 	grants int
 	soft   Announcements
@@ -121,6 +121,9 @@
 	lab.poll()
 	act := lab.kee.Tick(lab.now)
 	for _, upd := range act.Proposals {
+		if lab.apply != nil && !lab.apply(upd) {
+			continue
+		}
 		lab.index++
 		if err := lab.tab.Apply(Position{Term: lab.term, Index: lab.index}, upd); err != nil {
 			panic(err)
