fpgrant: release the slots of a removed service

Cause: a group cannot give up slots that have an owner, and nothing released those of a service that left the configuration. Ruled out: dropping owned slots, because their owners would still hold leases. Change: upstreams of a removed service count as leaving. Conclusion: a service can be removed.

--- a/internal/control/fpgrant/churn_test.go
+++ b/internal/control/fpgrant/churn_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
@@ -154,6 +155,20 @@
 	}
 }
 
+// TestRemovedService guards against slots that a group cannot give up after their service left the configuration.
+func TestRemovedService(t *testing.T) {
+	lab := newLab(8, names(2)...)
+	lab.kee.Configure(Position{Term: 1, Index: 2}, &fpoperator.Configuration{})
+	lab.run(2 * time.Second)
+	lab.index++
+	if err := lab.tab.SetHomes(Position{Term: 1, Index: lab.index}, &fpwire.SetHomes{
+		Service: modelService,
+		Slots:   8,
+	}); err != nil || lab.tab.Len() != 0 {
+		t.Errorf("%d slots left, %v", lab.tab.Len(), err)
+	}
+}
+
 // TestRestart guards a restart of an upstream: its slots return to the same name with higher epochs, and the new process
 // gets no lease before that of the earlier one has ended.
 func TestRestart(t *testing.T) {
--- a/internal/control/fpgrant/holder.go
+++ b/internal/control/fpgrant/holder.go
@@ -277,9 +277,11 @@
 	return hol.upstream != nil && !hol.answered.IsZero() && now.Sub(hol.answered) <= kee.cfg.Lease
 }
 
-// leaving reports whether the upstream is to get no new work.
+// leaving reports whether the upstream is to get no new work. Upstreams of a service that the configuration no longer has
+// leave, too, so that the group can give up the service's slots.
 func (kee *Keeper) leaving(hol *holder) bool {
-	return hol.upstream.GetDraining() || kee.drained[hol.name]
+	removed := kee.configuration != nil && kee.services[hol.upstream.GetService()] == nil
+	return hol.upstream.GetDraining() || kee.drained[hol.name] || removed
 }
 
 // willing reports whether the upstream answers and takes slots of the service.
