fpclaim: test another attempt of the same holder

Ruled out: nothing. Change: TestResults covers a claim and a settlement by another attempt of the holder. Conclusion: the rule is covered without chance.

--- a/internal/control/fpclaim/set_test.go
+++ b/internal/control/fpclaim/set_test.go
@@ -184,6 +184,11 @@
 	}
 	check("first", one, fpwire.ClaimState_CLAIM_STATE_GRANTED, 0)
 	check("same attempt", one, fpwire.ClaimState_CLAIM_STATE_GRANTED, 0)
+	second := command(id, "v", 2, startMS)
+	check("other attempt of the holder", second, fpwire.ClaimState_CLAIM_STATE_PENDING, 0)
+	if err := set.Settle(settlement(second, fpwire.Outcome_OUTCOME_NOT_RUN, "")); !fperror.Is(err, fperror.VersionConflict) {
+		t.Errorf("another attempt settled: %v", err)
+	}
 	restarted := command(id, "v", 1, startMS)
 	restarted.HolderIncarnation = 1
 	check("same attempt of a restarted holder", restarted, fpwire.ClaimState_CLAIM_STATE_PENDING, 0)
