fpserve: hold no place on an upstream while a claim is pending

Cause: a resend of a call that still ran waited for its outcome after it was admitted, so resends of one slow call could take all places of an upstream and keep its slot busy. Change: the place is given back before the wait. A call whose other attempt gave up the claim without a run starts over. Also: an owner that is not announced is refused, and fpconn reports the state of its pools.

--- a/api/upstream/fpfence/grant.go
+++ b/api/upstream/fpfence/grant.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// fence returns what a request for the slot names.
+func (slo slot) fence(epoch uint64) fence {
+	return fence{
+		number: slo.number,
+		epoch:  epoch,
+	}
+}
+
 func newGrant() *grant {
 	return &grant{
 		slots:  map[slot]uint64{},
@@ -44,7 +52,7 @@
 func (gra *grant) add(slo slot, epoch uint64) {
 	gra.remove(slo)
 	gra.slots[slo] = epoch
-	gra.fences[fence{number: slo.number, epoch: epoch}]++
+	gra.fences[slo.fence(epoch)]++
 }
 
 func (gra *grant) remove(slo slot) {
@@ -53,10 +61,7 @@
 		return
 	}
 	delete(gra.slots, slo)
-	fen := fence{
-		number: slo.number,
-		epoch:  epoch,
-	}
+	fen := slo.fence(epoch)
 	gra.fences[fen]--
 	if gra.fences[fen] == 0 {
 		delete(gra.fences, fen)
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -47,7 +47,12 @@
 		release: release,
 		id:      exc.ser.newRequestID(),
 	}
-	if err := exc.claimOnce(); err != nil || exc.final {
+	err = exc.claimOnce()
+	if errors.Is(err, errPending) {
+		att.end(Result{})
+		return exc.awaitClaim()
+	}
+	if err != nil || exc.final {
 		att.end(Result{Err: err})
 		return 0, err
 	}
@@ -57,10 +62,19 @@
 
 // pick finds the upstream for the next attempt.
 func (exc *exchange) pick() (*Target, error) {
+	choose := exc.ser.cfg.Choose
 	if exc.cal.method.Keyed() {
-		return exc.ser.cfg.Route(exc.ctx, exc.cal)
+		choose = exc.ser.cfg.Route
+	}
+	tar, err := choose(exc.ctx, exc.cal)
+	if err != nil {
+		return nil, err
+	}
+	if tar.Upstream == nil {
+		tar.done(0)
+		return nil, fperror.New(fperror.NoUpstream, "the owner of the request is not announced to this VM")
 	}
-	return exc.ser.cfg.Choose(exc.ctx, exc.cal)
+	return tar, nil
 }
 
 // ended replaces the error of a step before the forward when it failed because the call's time is over.
--- a/internal/route/fpserve/claim.go
+++ b/internal/route/fpserve/claim.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
@@ -28,22 +30,29 @@
 	held    bool
 }
 
+// errPending states that another attempt holds the claim.
+var errPending = errors.New("an earlier request with the same key is still running")
+
 // claimOnce commits the claim of a non-idempotent call before its first attempt. A call that ended before gets its
 // recorded answer, and exc.final is then set.
 func (exc *exchange) claimOnce() error {
 	if exc.cal.method.Idempotent() || exc.claim.held {
 		return nil
 	}
-	exc.claim.attempt = rand.Uint64()
-	res, err := exc.askClaim()
+	if exc.claim.attempt == 0 {
+		exc.claim.attempt = rand.Uint64()
+	}
+	res, err := exc.ser.cfg.Claim(exc.ctx, exc.cal, exc.claimMessage())
 	if err != nil {
 		exc.final = true
-		return err
+		return exc.claimError(err)
 	}
 	switch res.GetState() {
 	case fpwire.ClaimState_CLAIM_STATE_GRANTED:
 		exc.claim.held = true
 		return nil
+	case fpwire.ClaimState_CLAIM_STATE_PENDING:
+		return errPending
 	case fpwire.ClaimState_CLAIM_STATE_SETTLED:
 		exc.final = true
 		return exc.replay(res.GetAnswer())
@@ -53,21 +62,22 @@
 	}
 }
 
-// askClaim asks until the claim is no longer held by another attempt, or the caller's time is over.
-func (exc *exchange) askClaim() (*fpwire.ClaimResult, error) {
-	pause := minClaimPause
-	for {
-		res, err := exc.ser.cfg.Claim(exc.ctx, exc.cal, exc.claimMessage())
-		if err != nil {
-			return nil, exc.claimError(err)
-		}
-		if res.GetState() != fpwire.ClaimState_CLAIM_STATE_PENDING {
-			return res, nil
-		}
+// awaitClaim asks until the claim is no longer held by another attempt, or the caller's time is over. The call holds no
+// place on an upstream meanwhile. When the other attempt gave up its claim without a run, the call starts over with its own.
+func (exc *exchange) awaitClaim() (time.Duration, error) {
+	for pause := minClaimPause; ; pause = min(2*pause, maxClaimPause) {
 		if !exc.pause(pause) {
-			return nil, fperror.New(fperror.OutcomeUnknown, "an earlier request with the same key is still running")
+			exc.final = true
+			return 0, fperror.Wrap(fperror.OutcomeUnknown, errPending, "the outcome is not known yet")
+		}
+		err := exc.claimOnce()
+		switch {
+		case errors.Is(err, errPending):
+		case err != nil || exc.final:
+			return 0, err
+		default:
+			return exc.attempt()
 		}
-		pause = min(2*pause, maxClaimPause)
 	}
 }
 
--- a/internal/route/fpserve/once_test.go
+++ b/internal/route/fpserve/once_test.go
@@ -49,13 +49,13 @@
 		together := rapid.Bool().Draw(t, "together")
 		grpc := rapid.Bool().Draw(t, "grpc")
 		moved.Store(rapid.Bool().Draw(t, "moved"))
-		script := newScript(faults)
+		script := &script{faults: faults}
 		one.setFault(script.next)
 		two.setFault(script.next)
 		rou.claims.setFault(claimScript(claimFaults))
 		cal := &onceCall{
 			router: rou,
-			key:    newKeyOf(t),
+			key:    newKey(),
 		}
 		if grpc {
 			cal.opts = protocols["grpc"]
@@ -65,16 +65,6 @@
 	})
 }
 
-func newKeyOf(t *rapid.T) string {
-	key, err := newUUID()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func newScript(faults []int) *script { return &script{faults: faults} }
-
 // script gives one fault to each arrival, and none after its end.
 type script struct {
 	mutex  sync.Mutex
@@ -205,7 +195,7 @@
 // refused.
 func TestLostThenRefused(t *testing.T) {
 	sta := newStandin(t, "one")
-	scr := newScript([]int{int(runCut), int(shed), int(shed), int(shed)})
+	scr := &script{faults: []int{int(runCut), int(shed), int(shed), int(shed)}}
 	sta.setFault(scr.next)
 	rou := newRouter(t, nil, sta)
 	_, err := call(rou, newCaller(t, true), "/demo.Test/Idem", "x", "")
@@ -220,7 +210,7 @@
 	sta := newStandin(t, "one")
 	rou := newRouter(t, nil, sta)
 	for name, opts := range protocols {
-		key := newKey(t)
+		key := newKey()
 		first, err := call(rou, newCaller(t, true), "/demo.Test/Once", name, key, opts...)
 		if err != nil {
 			t.Fatal(err)
@@ -261,7 +251,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(100*time.Millisecond, cancel)
 	req := connect.NewRequest(&text{RequestId: "x"})
-	req.Header().Set("Idempotency-Key", newKey(t))
+	req.Header().Set("Idempotency-Key", newKey())
 	_, _ = connect.NewClient[text, text](newCaller(t, true), rou.URL+"/demo.Test/Once").CallUnary(ctx, req)
 	for range 100 {
 		rou.claims.mutex.Lock()
@@ -274,3 +264,30 @@
 	}
 	t.Error("the claim of a request that was never sent is still held")
 }
+
+// TestPendingHoldsNoPlace guards against a resend that occupies its upstream while it waits for the outcome of the first send.
+func TestPendingHoldsNoPlace(t *testing.T) {
+	sta := newStandin(t, "one")
+	sta.setFault(func(*http.Request) fault { return hang })
+	var places atomic.Int64
+	rou := newRouter(t, func(cfg *fpserve.Config) {
+		cfg.Admit = func(context.Context, *fpserve.Call, *fpserve.Target) (func(fpserve.Result), error) {
+			places.Add(1)
+			return func(fpserve.Result) { places.Add(-1) }, nil
+		}
+	}, sta)
+	key := newKey()
+	var gro sync.WaitGroup
+	for range 5 {
+		gro.Go(func() { _, _ = call(rou, newCaller(t, true), "/demo.Test/Once", "x", key) })
+	}
+	time.Sleep(200 * time.Millisecond)
+	if num := places.Load(); num != 1 {
+		t.Errorf("%d places are held", num)
+	}
+	close(sta.block)
+	gro.Wait()
+	if runs, _ := sta.total(key, ""); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
--- a/internal/route/fpserve/protocol.go
+++ b/internal/route/fpserve/protocol.go
@@ -28,13 +28,34 @@
 
 // protocols lists the content types that callers may use. gRPC-Web is not among them.
 var protocols = map[string]protocol{
-	"application/proto":         {form: connectUnary, format: fpschema.Proto},
-	"application/json":          {form: connectUnary, format: fpschema.JSON},
-	"application/connect+proto": {form: connectStream, format: fpschema.Proto},
-	"application/connect+json":  {form: connectStream, format: fpschema.JSON},
-	"application/grpc":          {form: grpc, format: fpschema.Proto},
-	"application/grpc+proto":    {form: grpc, format: fpschema.Proto},
-	"application/grpc+json":     {form: grpc, format: fpschema.JSON},
+	"application/proto": {
+		form:   connectUnary,
+		format: fpschema.Proto,
+	},
+	"application/json": {
+		form:   connectUnary,
+		format: fpschema.JSON,
+	},
+	"application/connect+proto": {
+		form:   connectStream,
+		format: fpschema.Proto,
+	},
+	"application/connect+json": {
+		form:   connectStream,
+		format: fpschema.JSON,
+	},
+	"application/grpc": {
+		form:   grpc,
+		format: fpschema.Proto,
+	},
+	"application/grpc+proto": {
+		form:   grpc,
+		format: fpschema.Proto,
+	},
+	"application/grpc+json": {
+		form:   grpc,
+		format: fpschema.JSON,
+	},
 }
 
 // protocolOf returns the protocol of a request.
--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -17,18 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 )
 
-func newUUID() (string, error) {
-	key, err := uuid.NewV7()
-	return key.String(), err
-}
-
-func newKey(t testing.TB) string {
-	key, err := newUUID()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 // protocols are the ways in which callers call.
 var protocols = map[string][]connect.ClientOption{
@@ -57,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			cli := newCaller(t, true)
 			for _, path := range []string{"/demo.Test/Idem", "/demo.Test/Once", "/demo.Keyed/Get"} {
-				res, err := call(rou, cli, path, name, newKey(t), opts...)
+				res, err := call(rou, cli, path, name, newKey(), opts...)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -49,38 +49,38 @@
 
 // connect opens a connection and asks for the upstream's health on it. HTTP/2 is tried first, because only its pings find
 // a silent connection.
-func (poo *Pool) connect(ctx context.Context) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, poo.cfg.ConnectTimeout)
+func (pl *Pool) connect(ctx context.Context) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, pl.cfg.ConnectTimeout)
 	defer cancel()
-	http1 := poo.http1.Load()
-	con, err := poo.connectWith(ctx, http1)
+	http1 := pl.http1.Load()
+	con, err := pl.connectWith(ctx, http1)
 	if http1 || ctx.Err() != nil || !errors.Is(err, errNoAnswer) {
 		return con, err
 	}
-	con, errHTTP1 := poo.connectWith(ctx, true)
+	con, errHTTP1 := pl.connectWith(ctx, true)
 	if errHTTP1 != nil {
 		return nil, err
 	}
-	poo.http1.Store(true)
+	pl.http1.Store(true)
 	return con, nil
 }
 
-func (poo *Pool) connectWith(ctx context.Context, http1 bool) (*Conn, error) {
+func (pl *Pool) connectWith(ctx context.Context, http1 bool) (*Conn, error) {
 	var soc atomic.Pointer[socket]
-	tra := newTransport(poo.cfg, dialInto(&soc), http1)
-	cli, err := tra.NewClientConn(ctx, "http", poo.upstream.GetAddress())
+	tra := newTransport(pl.cfg, dialInto(&soc), http1)
+	cli, err := tra.NewClientConn(ctx, "http", pl.upstream.GetAddress())
 	if err != nil {
-		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", poo.upstream.GetName())
+		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", pl.upstream.GetName())
 	}
 	con := &Conn{
-		pool:   poo,
+		pool:   pl,
 		client: cli,
 		socket: soc.Load(),
 		http1:  http1,
 	}
 	if err := con.probe(ctx); err != nil {
 		_ = cli.Close()
-		return nil, fperror.Wrap(fperror.ConnectFailed, errors.Join(errNoAnswer, err), "connect to %s", poo.upstream.GetName())
+		return nil, fperror.Wrap(fperror.ConnectFailed, errors.Join(errNoAnswer, err), "connect to %s", pl.upstream.GetName())
 	}
 	return con, nil
 }
@@ -106,8 +106,8 @@
 }
 
 // Do sends one request of a client of the upstream's own services.
-func (poo *Pool) Do(req *http.Request) (*http.Response, error) {
-	con, err := poo.Reserve(req.Context())
+func (pl *Pool) Do(req *http.Request) (*http.Response, error) {
+	con, err := pl.Reserve(req.Context())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -37,7 +37,7 @@
 
 func newPool(cfg *Config, ups *fpcontract.Upstream) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	poo := &Pool{
+	pl := &Pool{
 		cfg:      cfg,
 		upstream: ups,
 		cancel:   cancel,
@@ -45,76 +45,94 @@
 		limit:    cfg.Limit(ups),
 		changed:  make(chan struct{}),
 	}
-	poo.ended.Go(func() { poo.keep(ctx) })
-	return poo
+	pl.ended.Go(func() { pl.keep(ctx) })
+	return pl
 }
 
 // serves reports whether the pool is that of the upstream's incarnation and address.
-func (poo *Pool) serves(ups *fpcontract.Upstream) bool {
-	return poo.upstream.GetIncarnation() == ups.GetIncarnation() && poo.upstream.GetAddress() == ups.GetAddress()
+func (pl *Pool) serves(ups *fpcontract.Upstream) bool {
+	return pl.upstream.GetIncarnation() == ups.GetIncarnation() && pl.upstream.GetAddress() == ups.GetAddress()
 }
 
-func (poo *Pool) resize(limit int) {
-	poo.mutex.Lock()
-	defer poo.mutex.Unlock()
-	poo.limit = limit
+func (pl *Pool) resize(limit int) {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	pl.limit = limit
 }
 
 // Len returns the number of open connections.
-func (poo *Pool) Len() int {
-	poo.mutex.Lock()
-	defer poo.mutex.Unlock()
-	return len(poo.conns)
+func (pl *Pool) Len() int {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	return len(pl.conns)
+}
+
+func (pl *Pool) status() Status {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	sta := Status{
+		Upstream: pl.upstream.GetName(),
+		Open:     len(pl.conns),
+		Opening:  pl.opening,
+		HTTP1:    pl.http1.Load(),
+	}
+	for _, con := range pl.conns {
+		sta.InFlight += con.client.InFlight()
+	}
+	if pl.failure != nil {
+		sta.Failure = pl.failure.Error()
+	}
+	return sta
 }
 
 // Reserve returns a connection with a reservation for one request. When all connections are full it opens another one,
 // up to the limit, and otherwise waits. Its error is of the kind ConnectFailed: nothing was sent.
-func (poo *Pool) Reserve(ctx context.Context) (*Conn, error) {
-	con, _, err := poo.take(ctx)
+func (pl *Pool) Reserve(ctx context.Context) (*Conn, error) {
+	con, _, err := pl.take(ctx)
 	if con != nil || err != nil {
 		return con, err
 	}
-	poo.waiting.Add(1)
-	defer poo.waiting.Add(-1)
+	pl.waiting.Add(1)
+	defer pl.waiting.Add(-1)
 	for {
 		// The pool is looked at again after the caller is counted as waiting, so that no change is missed.
-		con, changed, err := poo.take(ctx)
+		con, changed, err := pl.take(ctx)
 		if con != nil || err != nil {
 			return con, err
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, fperror.Wrap(fperror.ConnectFailed, ctx.Err(), "no connection to %s in time", poo.upstream.GetName())
+			return nil, fperror.Wrap(fperror.ConnectFailed, ctx.Err(), "no connection to %s in time", pl.upstream.GetName())
 		}
 	}
 }
 
 // take reserves a place on the least used connection. Without one it returns a channel to wait on. When no connection is
 // open and the latest attempt failed, it returns that failure at once, while keep goes on trying.
-func (poo *Pool) take(ctx context.Context) (*Conn, <-chan struct{}, error) {
-	poo.mutex.Lock()
-	defer poo.mutex.Unlock()
-	if poo.retired.Load() {
-		return nil, nil, fperror.New(fperror.ConnectFailed, "%s has gone", poo.upstream.GetName())
+func (pl *Pool) take(ctx context.Context) (*Conn, <-chan struct{}, error) {
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	if pl.retired.Load() {
+		return nil, nil, fperror.New(fperror.ConnectFailed, "%s has gone", pl.upstream.GetName())
 	}
-	if con := poo.leastUsed(); con != nil {
+	if con := pl.leastUsed(); con != nil {
 		return con, nil, nil
 	}
-	if len(poo.conns) == 0 && poo.failure != nil {
-		return nil, nil, poo.failure
+	if len(pl.conns) == 0 && pl.failure != nil {
+		return nil, nil, pl.failure
 	}
-	if poo.begin(poo.most()) {
-		poo.ended.Go(func() { poo.add(context.WithoutCancel(ctx)) })
+	if pl.begin(pl.most()) {
+		pl.ended.Go(func() { pl.add(context.WithoutCancel(ctx)) })
 	}
-	return nil, poo.changed, nil
+	return nil, pl.changed, nil
 }
 
 // leastUsed reserves a place on the connection with the fewest requests in flight. The caller holds the mutex.
-func (poo *Pool) leastUsed() *Conn {
+func (pl *Pool) leastUsed() *Conn {
 	var best *Conn
 	fewest := maxStreams
-	for _, con := range poo.conns {
+	for _, con := range pl.conns {
 		num := con.client.InFlight()
 		if num < fewest && con.client.Available() > 0 {
 			best, fewest = con, num
@@ -128,56 +146,56 @@
 
 // most returns the largest number of connections. HTTP/1.1 takes a connection for every request in flight, while a few
 // connections of HTTP/2 carry them all. The caller holds the mutex.
-func (poo *Pool) most() int {
-	if poo.http1.Load() {
-		return poo.limit
+func (pl *Pool) most() int {
+	if pl.http1.Load() {
+		return pl.limit
 	}
-	return min(poo.limit, maxHTTP2)
+	return min(pl.limit, maxHTTP2)
 }
 
 // begin counts one more connection as being opened when there are fewer than most. The caller holds the mutex.
-func (poo *Pool) begin(most int) bool {
-	if len(poo.conns)+poo.opening >= most {
+func (pl *Pool) begin(most int) bool {
+	if len(pl.conns)+pl.opening >= most {
 		return false
 	}
-	poo.opening++
+	pl.opening++
 	return true
 }
 
 // retire closes idle connections at once, and all others when their requests have ended.
-func (poo *Pool) retire() {
-	poo.cancel()
-	poo.retired.Store(true)
-	poo.mutex.Lock()
-	defer poo.mutex.Unlock()
-	for _, con := range poo.conns {
+func (pl *Pool) retire() {
+	pl.cancel()
+	pl.retired.Store(true)
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	for _, con := range pl.conns {
 		con.closeIfIdle()
 	}
-	poo.conns = nil
-	poo.announce()
+	pl.conns = nil
+	pl.announce()
 }
 
 // announce wakes all callers that wait for a connection. The caller holds the mutex.
-func (poo *Pool) announce() {
-	close(poo.changed)
-	poo.changed = make(chan struct{})
+func (pl *Pool) announce() {
+	close(pl.changed)
+	pl.changed = make(chan struct{})
 }
 
 // onChange runs when a connection has room again or breaks. It may run within calls of the connection that are made under
 // the mutex, so it takes no lock.
-func (poo *Pool) onChange(con *Conn) {
-	if poo.retired.Load() {
+func (pl *Pool) onChange(con *Conn) {
+	if pl.retired.Load() {
 		con.closeIfIdle()
 		return
 	}
-	if con.Broken() || poo.waiting.Load() > 0 {
-		poo.rouse()
+	if con.Broken() || pl.waiting.Load() > 0 {
+		pl.rouse()
 	}
 }
 
-func (poo *Pool) rouse() {
+func (pl *Pool) rouse() {
 	select {
-	case poo.wake <- struct{}{}:
+	case pl.wake <- struct{}{}:
 	default:
 	}
 }
--- a/internal/upstream/fpconn/pools.go
+++ b/internal/upstream/fpconn/pools.go
@@ -4,7 +4,9 @@
 package fpconn
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,30 +92,30 @@
 
 // Update opens pools for the given upstreams and closes those of all others. A pool whose upstream restarted is replaced;
 // requests in flight on a closed pool run to their end.
-func (pos *Pools) Update(upstreams []*fpcontract.Upstream) {
-	pos.mutex.Lock()
-	defer pos.mutex.Unlock()
-	if pos.done {
+func (pls *Pools) Update(upstreams []*fpcontract.Upstream) {
+	pls.mutex.Lock()
+	defer pls.mutex.Unlock()
+	if pls.done {
 		return
 	}
 	wanted := make(map[string]bool, len(upstreams))
 	for _, ups := range upstreams {
 		wanted[ups.GetName()] = true
-		pos.open(ups)
+		pls.open(ups)
 	}
-	for name, poo := range pos.pools {
+	for name, pl := range pls.pools {
 		if !wanted[name] {
-			poo.retire()
-			delete(pos.pools, name)
+			pl.retire()
+			delete(pls.pools, name)
 		}
 	}
 }
 
 // open makes sure that a pool for this incarnation and address exists. The caller holds the mutex.
-func (pos *Pools) open(ups *fpcontract.Upstream) *Pool {
-	old := pos.pools[ups.GetName()]
+func (pls *Pools) open(ups *fpcontract.Upstream) *Pool {
+	old := pls.pools[ups.GetName()]
 	if old != nil && old.serves(ups) {
-		old.resize(pos.cfg.Limit(ups))
+		old.resize(pls.cfg.Limit(ups))
 		return old
 	}
 	if old != nil && old.upstream.GetIncarnation() > ups.GetIncarnation() {
@@ -122,38 +124,59 @@
 	if old != nil {
 		old.retire()
 	}
-	poo := newPool(&pos.cfg, ups)
-	pos.pools[ups.GetName()] = poo
-	return poo
+	pl := newPool(&pls.cfg, ups)
+	pls.pools[ups.GetName()] = pl
+	return pl
 }
 
 // Pool returns the pool of an upstream and opens it when there is none.
-func (pos *Pools) Pool(ups *fpcontract.Upstream) *Pool {
-	pos.mutex.RLock()
-	poo := pos.pools[ups.GetName()]
-	pos.mutex.RUnlock()
-	if poo != nil && poo.serves(ups) {
-		return poo
-	}
-	pos.mutex.Lock()
-	defer pos.mutex.Unlock()
-	poo = pos.open(ups)
-	if pos.done {
-		poo.retire()
-	}
-	return poo
+func (pls *Pools) Pool(ups *fpcontract.Upstream) *Pool {
+	pls.mutex.RLock()
+	pl := pls.pools[ups.GetName()]
+	pls.mutex.RUnlock()
+	if pl != nil && pl.serves(ups) {
+		return pl
+	}
+	pls.mutex.Lock()
+	defer pls.mutex.Unlock()
+	pl = pls.open(ups)
+	if pls.done {
+		pl.retire()
+	}
+	return pl
+}
+
+// Status describes the connections to one upstream, for a dump of the VM's state.
+type Status struct {
+	Upstream string `json:"upstream"`
+	Open     int    `json:"open"`
+	Opening  int    `json:"opening"`
+	InFlight int    `json:"inFlight"`
+	HTTP1    bool   `json:"http1"`
+	Failure  string `json:"failure,omitempty"`
+}
+
+// Status returns the state of all pools, ordered by the names of their upstreams.
+func (pls *Pools) Status() []Status {
+	pls.mutex.RLock()
+	defer pls.mutex.RUnlock()
+	all := make([]Status, 0, len(pls.pools))
+	for _, name := range slices.Sorted(maps.Keys(pls.pools)) {
+		all = append(all, pls.pools[name].status())
+	}
+	return all
 }
 
 // Close closes all pools and waits for their goroutines. Requests in flight run to their end.
-func (pos *Pools) Close() {
-	pos.mutex.Lock()
-	all := pos.pools
-	pos.pools = map[string]*Pool{}
-	pos.done = true
-	pos.mutex.Unlock()
-	for _, poo := range all {
-		poo.retire()
-		poo.ended.Wait()
+func (pls *Pools) Close() {
+	pls.mutex.Lock()
+	all := pls.pools
+	pls.pools = map[string]*Pool{}
+	pls.done = true
+	pls.mutex.Unlock()
+	for _, pl := range all {
+		pl.retire()
+		pl.ended.Wait()
 	}
 }
 
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -94,17 +94,17 @@
 }
 
 func newPools(t *testing.T, cfg fpconn.Config) *fpconn.Pools {
-	pos := fpconn.New(cfg)
-	t.Cleanup(pos.Close)
-	return pos
+	pls := fpconn.New(cfg)
+	t.Cleanup(pls.Close)
+	return pls
 }
 
-func get(ctx context.Context, poo *fpconn.Pool) error {
+func get(ctx context.Context, pl *fpconn.Pool) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/", nil)
 	if err != nil {
 		return err
 	}
-	res, err := poo.Do(req)
+	res, err := pl.Do(req)
 	if err != nil {
 		return err
 	}
@@ -139,14 +139,14 @@
 				}
 			})
 			wir := newWire(t, ups.Listener.Addr().String())
-			poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: wir.Addr().String()})
-			waitFor(t, "connections ahead of need", func() bool { return poo.Len() >= 2 })
+			pl := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: wir.Addr().String()})
+			waitFor(t, "connections ahead of need", func() bool { return pl.Len() >= 2 })
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			slow.Store(true)
 			lost := make(chan error, 1)
 			if http2 {
-				go func() { lost <- get(ctx, poo) }()
+				go func() { lost <- get(ctx, pl) }()
 				time.Sleep(50 * time.Millisecond)
 			}
 			wir.silence()
@@ -160,7 +160,7 @@
 				time.Sleep(1600 * time.Millisecond)
 			}
 			slow.Store(false)
-			for get(ctx, poo) != nil && ctx.Err() == nil {
+			for get(ctx, pl) != nil && ctx.Err() == nil {
 				time.Sleep(5 * time.Millisecond)
 			}
 			if took := time.Since(start); took > 2*time.Second {
@@ -182,12 +182,12 @@
 					panic(http.ErrAbortHandler)
 				}
 			})
-			poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
+			pl := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
 			// net/http sends again only over connections that have carried a request before.
-			if err := post(t, poo, "/before"); err != nil {
+			if err := post(t, pl, "/before"); err != nil {
 				t.Fatal(err)
 			}
-			if post(t, poo, "/") == nil {
+			if post(t, pl, "/") == nil {
 				t.Error("an answer came without a handler that gave one")
 			}
 			if num := runs.Load(); num != 1 {
@@ -198,8 +198,8 @@
 }
 
 // post sends a request that net/http takes for one that may be sent again.
-func post(t *testing.T, poo *fpconn.Pool, path string) error {
-	con, err := poo.Reserve(t.Context())
+func post(t *testing.T, pl *fpconn.Pool, path string) error {
+	con, err := pl.Reserve(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -235,15 +235,15 @@
 		}
 	}
 	ups.Start()
-	poo := newPools(t, fpconn.Config{
+	pl := newPools(t, fpconn.Config{
 		Limit: func(*fpcontract.Upstream) int { return 3 },
 	}).Pool(&fpcontract.Upstream{Name: "one", Address: ups.Listener.Addr().String()})
-	waitFor(t, "a connection of HTTP/1.1", func() bool { return get(t.Context(), poo) == nil })
+	waitFor(t, "a connection of HTTP/1.1", func() bool { return get(t.Context(), pl) == nil })
 	most.Store(open.Load())
 	var gro sync.WaitGroup
 	for range 50 {
 		gro.Go(func() {
-			if err := get(t.Context(), poo); err != nil {
+			if err := get(t.Context(), pl); err != nil {
 				t.Error(err)
 			}
 		})
@@ -261,9 +261,9 @@
 		t.Fatal(err)
 	}
 	_ = lis.Close()
-	poo := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
+	pl := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
 	start := time.Now()
-	_, err = poo.Reserve(t.Context())
+	_, err = pl.Reserve(t.Context())
 	if !fperror.Is(err, fperror.ConnectFailed) || time.Since(start) > 500*time.Millisecond {
 		t.Errorf("got %v after %v", err, time.Since(start))
 	}
@@ -276,8 +276,8 @@
 		t.Fatal(err)
 	}
 	defer lis.Close()
-	poo := newPools(t, fpconn.Config{ConnectTimeout: 200 * time.Millisecond}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
-	if _, err = poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	pl := newPools(t, fpconn.Config{ConnectTimeout: 200 * time.Millisecond}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
+	if _, err = pl.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -291,15 +291,15 @@
 			<-finish
 		}
 	})
-	pos := newPools(t, fpconn.Config{})
+	pls := newPools(t, fpconn.Config{})
 	msg := &fpcontract.Upstream{Name: "one", Incarnation: 1, Address: ups.Listener.Addr().String()}
-	pos.Update([]*fpcontract.Upstream{msg})
-	poo := pos.Pool(msg)
+	pls.Update([]*fpcontract.Upstream{msg})
+	pl := pls.Pool(msg)
 	ended := make(chan error, 1)
-	go func() { ended <- get(t.Context(), poo) }()
+	go func() { ended <- get(t.Context(), pl) }()
 	<-begun
-	pos.Update(nil)
-	if _, err := poo.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	pls.Update(nil)
+	if _, err := pl.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("a pool that was closed gave a connection: %v", err)
 	}
 	close(finish)
@@ -307,10 +307,10 @@
 		t.Errorf("a request in flight was cut off: %v", err)
 	}
 	next := &fpcontract.Upstream{Name: "one", Incarnation: 2, Address: msg.Address}
-	pos.Update([]*fpcontract.Upstream{next})
-	newer := pos.Pool(next)
-	pos.Update([]*fpcontract.Upstream{msg})
-	if newer == poo || pos.Pool(next) != newer {
+	pls.Update([]*fpcontract.Upstream{next})
+	newer := pls.Pool(next)
+	pls.Update([]*fpcontract.Upstream{msg})
+	if newer == pl || pls.Pool(next) != newer {
 		t.Error("the pool of an earlier incarnation is in use")
 	}
 }
