--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -38,7 +38,7 @@
 	}
 	release, err := exc.ser.cfg.Admit(exc.ctx, exc.cal, tar)
 	if err != nil {
-		tar.done(0)
+		tar.done(0, err)
 		return 0, exc.ended(err)
 	}
 	att := &attempt{
@@ -71,8 +71,9 @@
 		return nil, err
 	}
 	if tar.Upstream == nil {
-		tar.done(0)
-		return nil, fperror.New(fperror.NoUpstream, "the owner of the request is not announced to this VM")
+		err := fperror.New(fperror.NoUpstream, "the owner of the request is not announced to this VM")
+		tar.done(0, err)
+		return nil, err
 	}
 	return tar, nil
 }
@@ -91,7 +92,7 @@
 // run forwards the request and takes the answer.
 func (att *attempt) run() (time.Duration, error) {
 	exc := att.exc
-	con, err := exc.ser.cfg.Pools.Pool(att.target.Upstream).Reserve(exc.ctx)
+	con, err := exc.ser.cfg.Pools.Pool(att.target.Upstream).Reserve(exc.ctx, att.target.Changed)
 	if err != nil {
 		err = exc.ended(err)
 		att.end(Result{Err: err})
@@ -173,23 +174,23 @@
 	}
 	att.release(res)
 	if res.Err != nil && fperror.KindOf(res.Err).Answer().Outcome() == fperror.NotRun {
-		att.free(0)
+		att.free(0, res.Err)
 		return
 	}
-	att.free(res.Latency)
+	att.free(res.Latency, res.Err)
 }
 
 // free tells once that the request no longer runs on the upstream's slot.
-func (att *attempt) free(busy time.Duration) {
+func (att *attempt) free(busy time.Duration, err error) {
 	if att.freed {
 		return
 	}
 	att.freed = true
-	att.target.done(busy)
+	att.target.done(busy, err)
 }
 
-func (tar *Target) done(busy time.Duration) {
+func (tar *Target) done(busy time.Duration, err error) {
 	if tar.Done != nil {
-		tar.Done(busy)
+		tar.Done(busy, err)
 	}
 }
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -73,7 +73,7 @@
 	ser := att.exc.ser
 	fenced := att.target.Upstream.GetChecksFence()
 	if fenced {
-		att.free(time.Since(att.sent))
+		att.free(time.Since(att.sent), err)
 	}
 	ser.leftover.Go(func() {
 		if !att.cancelUpstream() && !fenced {
--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -173,7 +173,7 @@
 		cfg.Route = func(context.Context, *fpserve.Call) (*fpserve.Target, error) {
 			return &fpserve.Target{
 				Upstream: sta.upstream,
-				Done:     func(time.Duration) { done <- sta.canceled.Load() },
+				Done:     func(time.Duration, error) { done <- sta.canceled.Load() },
 			}, nil
 		}
 	}, sta)
@@ -207,7 +207,7 @@
 			cfg.Route = func(context.Context, *fpserve.Call) (*fpserve.Target, error) {
 				return &fpserve.Target{
 					Upstream: sta.upstream,
-					Done:     func(time.Duration) { done <- time.Now() },
+					Done:     func(time.Duration, error) { done <- time.Now() },
 				}, nil
 			}
 			cfg.Retry = nil
--- a/internal/route/fptable/flight.go
+++ b/internal/route/fptable/flight.go
@@ -138,6 +138,27 @@
 	return fli.valid()
 }
 
+// Changed returns a channel that is closed when the slot changes. It is closed already when the slot has begun to move since
+// Route.
+func (fli *Flight) Changed() <-chan struct{} {
+	slo := fli.lock()
+	defer slo.mutex.Unlock()
+	if slo.state != fpwire.SlotState_SLOT_STATE_OWNED || slo.epoch != fli.epoch {
+		return closed
+	}
+	if slo.changed == nil {
+		slo.changed = make(chan struct{})
+	}
+	return slo.changed
+}
+
+// closed is the channel of slots that have changed.
+var closed = func() chan struct{} {
+	all := make(chan struct{})
+	close(all)
+	return all
+}()
+
 // Done ends the flight. busy is the time that the upstream spent on the request, 0 when it did not run. A request that may
 // still run on the upstream is not done. Calls after the first have no effect.
 func (fli *Flight) Done(busy time.Duration) {
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -107,7 +107,7 @@
 
 // Do sends one request of a client of the upstream's own services.
 func (pl *Pool) Do(req *http.Request) (*http.Response, error) {
-	con, err := pl.Reserve(req.Context())
+	con, err := pl.Reserve(req.Context(), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -86,14 +86,19 @@
 }
 
 // Reserve returns a connection with a reservation for one request. When all connections are full it opens another one,
-// up to the limit, and otherwise waits. Its error is of the kind ConnectFailed: nothing was sent.
-func (pl *Pool) Reserve(ctx context.Context) (*Conn, error) {
+// up to the limit, and otherwise waits until ctx ends or the channel that giveUp returns is closed. giveUp is called only
+// when the request has to wait; it may be nil. The error is of the kind ConnectFailed: nothing was sent.
+func (pl *Pool) Reserve(ctx context.Context, giveUp func() <-chan struct{}) (*Conn, error) {
 	con, _, err := pl.take(ctx)
 	if con != nil || err != nil {
 		return con, err
 	}
 	pl.waiting.Add(1)
 	defer pl.waiting.Add(-1)
+	var over <-chan struct{}
+	if giveUp != nil {
+		over = giveUp()
+	}
 	for {
 		// The pool is looked at again after the caller is counted as waiting, so that no change is missed.
 		con, changed, err := pl.take(ctx)
@@ -102,6 +107,8 @@
 		}
 		select {
 		case <-changed:
+		case <-over:
+			return nil, fperror.New(fperror.ConnectFailed, "no connection to %s before the request was given up", pl.upstream.GetName())
 		case <-ctx.Done():
 			return nil, fperror.Wrap(fperror.ConnectFailed, ctx.Err(), "no connection to %s in time", pl.upstream.GetName())
 		}
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -199,7 +199,7 @@
 
 // post sends a request that net/http takes for one that may be sent again.
 func post(t *testing.T, pl *fpconn.Pool, path string) error {
-	con, err := pl.Reserve(t.Context())
+	con, err := pl.Reserve(t.Context(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -263,7 +263,7 @@
 	_ = lis.Close()
 	pl := newPools(t, fpconn.Config{}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
 	start := time.Now()
-	_, err = pl.Reserve(t.Context())
+	_, err = pl.Reserve(t.Context(), nil)
 	if !fperror.Is(err, fperror.ConnectFailed) || time.Since(start) > 500*time.Millisecond {
 		t.Errorf("got %v after %v", err, time.Since(start))
 	}
@@ -277,7 +277,7 @@
 	}
 	defer lis.Close()
 	pl := newPools(t, fpconn.Config{ConnectTimeout: 200 * time.Millisecond}).Pool(&fpcontract.Upstream{Name: "one", Address: lis.Addr().String()})
-	if _, err = pl.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	if _, err = pl.Reserve(t.Context(), nil); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -299,7 +299,7 @@
 	go func() { ended <- get(t.Context(), pl) }()
 	<-begun
 	pls.Update(nil)
-	if _, err := pl.Reserve(t.Context()); !fperror.Is(err, fperror.ConnectFailed) {
+	if _, err := pl.Reserve(t.Context(), nil); !fperror.Is(err, fperror.ConnectFailed) {
 		t.Errorf("a pool that was closed gave a connection: %v", err)
 	}
 	close(finish)
