--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -193,6 +193,30 @@
 	}
 }
 
+// TestShutdown guards against a planned stop that cuts off calls in flight, or does not end.
+func TestShutdown(t *testing.T) {
+	sta := newStandin(t, "one")
+	sta.setFault(func(*http.Request) fault { return late })
+	rou := newRouter(t, nil, sta)
+	var gro sync.WaitGroup
+	for _, http2 := range []bool{true, false} {
+		gro.Go(func() {
+			if _, err := call(rou, newCaller(t, http2), "/demo.Test/Idem", "x", ""); err != nil {
+				t.Errorf("http2 %v: %v", http2, err)
+			}
+		})
+	}
+	for rou.server.Running() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := rou.Config.Shutdown(ctx); err != nil || rou.server.Running() != 0 {
+		t.Errorf("%v, with %d calls in flight", err, rou.server.Running())
+	}
+	gro.Wait()
+}
+
 // TestUnconfirmedCancel guards against a slot that counts as free of a request that may still run, and against the loss of
 // an upstream that checks fences holding up the move of its slots.
 func TestUnconfirmedCancel(t *testing.T) {
--- a/internal/route/fpserve/standin_test.go
+++ b/internal/route/fpserve/standin_test.go
@@ -260,8 +260,8 @@
 	}
 	rou.cfg = cfg
 	rou.server = fpserve.New(cfg)
-	rou.Server = httptest.NewUnstartedServer(rou.server)
-	rou.Config.Protocols = bothProtocols()
+	rou.Server = httptest.NewUnstartedServer(nil)
+	rou.Config = fpserve.NewHTTPServer(rou.server, fpserve.Limits{})
 	rou.Start()
 	t.Cleanup(func() {
 		rou.Close()
