fptable: ask for the whole table after the new services are in place

Cause: the whole table was asked for before the new services could be seen, so an answer in between dropped the entries of new slots, and nobody asked for them again. Found by reading; the window is too short for a test. Change: the services are stored first. Also: TestShutdown checks each protocol by itself. A trial with the handler of golang.org/x/net in the place of net/http's own HTTP/2 turns it red: Shutdown returned with 1 call in flight.

--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -195,26 +195,28 @@
 
 // TestShutdown guards against a planned stop that cuts off calls in flight, or does not end.
 func TestShutdown(t *testing.T) {
-	sta := newStandin(t, "one")
-	sta.setFault(func(*http.Request) fault { return late })
-	rou := newRouter(t, nil, sta)
-	var gro sync.WaitGroup
 	for _, http2 := range []bool{true, false} {
-		gro.Go(func() {
-			if _, err := call(rou, newCaller(t, http2), "/demo.Test/Idem", "x", ""); err != nil {
-				t.Errorf("http2 %v: %v", http2, err)
-			}
-		})
-	}
-	for rou.server.Running() < 2 {
-		time.Sleep(time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-	defer cancel()
-	if err := rou.Config.Shutdown(ctx); err != nil || rou.server.Running() != 0 {
-		t.Errorf("%v, with %d calls in flight", err, rou.server.Running())
+		sta := newStandin(t, "one")
+		sta.setFault(func(*http.Request) fault { return late })
+		rou := newRouter(t, nil, sta)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := call(rou, newCaller(t, http2), "/demo.Test/Idem", "x", "")
+			ended <- err
+		}()
+		for rou.server.Running() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		err := rou.Config.Shutdown(ctx)
+		if running := rou.server.Running(); err != nil || running != 0 {
+			t.Errorf("http2 %v: Shutdown returned %v with %d calls in flight", http2, err, running)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("http2 %v: the call was cut off: %v", http2, err)
+		}
+		cancel()
 	}
-	gro.Wait()
 }
 
 // TestUnconfirmedCancel guards against a slot that counts as free of a request that may still run, and against the loss of
--- a/internal/route/fptable/table.go
+++ b/internal/route/fptable/table.go
@@ -96,13 +96,19 @@
 	defer tab.mutex.Unlock()
 	old := *tab.services.Load()
 	next := make(map[string]*service, len(services))
+	gained := map[*group]bool{}
 	for _, cfg := range services {
-		next[cfg.GetName()] = tab.configure(cfg, old[cfg.GetName()])
+		next[cfg.GetName()] = tab.configure(cfg, old[cfg.GetName()], gained)
 	}
 	tab.services.Store(&next)
+	// The whole table is asked for only now, so that an answer with the new slots cannot meet the old services.
+	for gro := range gained {
+		gro.wantWhole()
+	}
 }
 
-func (tab *Table) configure(cfg *fpoperator.Service, old *service) *service {
+// configure returns a service and adds the groups that gain slots to gained. The caller holds the mutex.
+func (tab *Table) configure(cfg *fpoperator.Service, old *service, gained map[*group]bool) *service {
 	lay := fpschema.NewLayout(cfg)
 	ser := &service{
 		name:   cfg.GetName(),
@@ -121,7 +127,7 @@
 		}
 		ser.slots[num] = &slot{}
 		if ser.groups[num] != nil {
-			ser.groups[num].wantWhole()
+			gained[ser.groups[num]] = true
 		}
 	}
 	return ser
