--- a/internal/route/fpserve/end_test.go
+++ b/internal/route/fpserve/end_test.go
@@ -71,6 +71,9 @@
 		if err == nil {
 			t.Errorf("%s: the answer was taken for a whole one", name)
 		}
+		if name == "grpc stream without status" && connect.CodeOf(err) != connect.CodeDataLoss {
+			t.Errorf("%s: the caller got %v", name, err)
+		}
 		if num, ok := rou.counts.Load("answerTruncated"); (!ok || num == nil) && name != "not the protocol" {
 			t.Errorf("%s: the router did not notice, the caller got %v", name, err)
 		}
--- a/internal/route/fpserve/once_test.go
+++ b/internal/route/fpserve/once_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -228,6 +229,27 @@
 	}
 }
 
+// TestLargeAnswer guards against a call that runs again because its answer was too large to be recorded.
+func TestLargeAnswer(t *testing.T) {
+	sta := newStandin(t, "one")
+	rou := newRouter(t, nil, sta)
+	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	for size, kept := range map[int]bool{16 << 10: false, 15 << 10: true} {
+		key, value := newKey(), strings.Repeat("x", size)
+		if _, err := call(rou, newCaller(t, true), "/demo.Test/Once", value, key, plain); err != nil {
+			t.Fatal(err)
+		}
+		_, err := call(rou, newCaller(t, true), "/demo.Test/Once", value, key, plain)
+		var conErr *connect.Error
+		if errors.As(err, &conErr) == kept || !kept && conErr.Meta().Get("Foxtailpulley-Outcome") != "ran" {
+			t.Errorf("%d bytes: the resend got %v", size, err)
+		}
+		if runs, _ := sta.total(key, ""); runs != 1 {
+			t.Errorf("%d bytes: %d runs", size, runs)
+		}
+	}
+}
+
 func (sta *standin) setFault(fau func(*http.Request) fault) {
 	sta.mutex.Lock()
 	defer sta.mutex.Unlock()
