fpserve: benchmark against as many upstreams as a service has

With one upstream the 32 callers shared two connections, which put more requests on a connection than the upstreams of the design run at once.

--- a/internal/route/fpserve/bench_test.go
+++ b/internal/route/fpserve/bench_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,16 +37,17 @@
 
 // side is one of the two ways to the upstream that a benchmark compares.
 type side struct {
-	url  string
+	urls []string
+	next atomic.Uint64
 	cli  *http.Client
 	body []byte
 	his  *hdrhistogram.Histogram
 	used usage
 }
 
-func newSide(b *testing.B, url string, http2 bool, body []byte) *side {
+func newSide(b *testing.B, urls []string, http2 bool, body []byte) *side {
 	return &side{
-		url:  url,
+		urls: urls,
 		cli:  newCaller(b, http2),
 		body: body,
 		his:  hdrhistogram.New(1, int64(10*time.Second), 3),
@@ -53,8 +56,9 @@
 
 // call sends one request and returns its latency.
 func (sid *side) call(b *testing.B) time.Duration {
+	url := sid.urls[sid.next.Add(1)%uint64(len(sid.urls))]
 	start := time.Now()
-	res, err := sid.cli.Post(sid.url+"/demo.Test/Idem", "application/proto", bytes.NewReader(sid.body))
+	res, err := sid.cli.Post(url+"/demo.Test/Idem", "application/proto", bytes.NewReader(sid.body))
 	if err != nil {
 		b.Error(err)
 		return 0
@@ -91,12 +95,16 @@
 	sid.used.allocs += after.allocs - before.allocs
 }
 
-// BenchmarkForward compares calls through the router with direct calls to the same upstream, in turns within one run. The
+// benchUpstreams is the number of workers of the largest service of the Haugland deployment. A worker runs 3 requests at
+// once, so fewer upstreams would put more requests on one connection than there are in service.
+const benchUpstreams = 16
+
+// BenchmarkForward compares calls through the router with direct calls to the same upstreams, in turns within one run. The
 // caller, the router and the upstream share the process, so what the router costs is the difference of both sides.
 func BenchmarkForward(b *testing.B) {
 	for name, http2 := range map[string]bool{"http2": true, "http1": false} {
 		for _, callers := range []int{1, 32} {
-			b.Run(name+"/callers="+string(rune('0'+callers/10))+string(rune('0'+callers%10)), func(b *testing.B) {
+			b.Run(name+"/callers="+strconv.Itoa(callers), func(b *testing.B) {
 				benchmarkForward(b, http2, callers)
 			})
 		}
@@ -105,13 +113,19 @@
 
 func benchmarkForward(b *testing.B, http2 bool, callers int) {
 	body, _ := proto.Marshal(&text{RequestId: string(make([]byte, 200))})
-	sta := newStandin(b, "one")
-	sta.Config.Handler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		wri.Header().Set("Content-Type", "application/proto")
-		_, _ = io.Copy(wri, req.Body)
-	})
-	rou := newRouter(b, nil, sta)
-	direct, routed := newSide(b, sta.URL, http2, body), newSide(b, rou.URL, http2, body)
+	var upstreams []*standin
+	var urls []string
+	for num := range benchUpstreams {
+		sta := newStandin(b, strconv.Itoa(num))
+		sta.Config.Handler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+			wri.Header().Set("Content-Type", "application/proto")
+			_, _ = io.Copy(wri, req.Body)
+		})
+		upstreams = append(upstreams, sta)
+		urls = append(urls, sta.URL)
+	}
+	rou := newRouter(b, nil, upstreams...)
+	direct, routed := newSide(b, urls, http2, body), newSide(b, []string{rou.URL}, http2, body)
 	const round = 2000
 	direct.run(b, round, callers)
 	routed.run(b, round, callers)
