fpconn: tell a crash from silence on the write side too

Cause: a connection that the upstream reset could show its end in a write first. This side then closed it, and the request in flight was not reported as a suspect. A timeout of the kernel's keepalive would have counted as a crash. Change: errors of writes count as well, and timeouts never do.

--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -100,11 +100,19 @@
 }
 
 func get(ctx context.Context, pl *fpconn.Pool) error {
+	con, err := pl.Reserve(ctx, nil)
+	if err != nil {
+		return err
+	}
+	return getOn(ctx, con)
+}
+
+func getOn(ctx context.Context, con *fpconn.Conn) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/", nil)
 	if err != nil {
 		return err
 	}
-	res, err := pl.Do(req)
+	res, err := con.RoundTrip(req)
 	if err != nil {
 		return err
 	}
@@ -145,15 +153,21 @@
 			defer cancel()
 			slow.Store(true)
 			lost := make(chan error, 1)
+			con, err := pl.Reserve(ctx, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
 			if http2 {
-				go func() { lost <- get(ctx, pl) }()
+				go func() { lost <- getOn(ctx, con) }()
 				time.Sleep(50 * time.Millisecond)
+			} else {
+				con.Release()
 			}
 			wir.silence()
 			start := time.Now()
 			if http2 {
-				if err := <-lost; err == nil {
-					t.Error("a request on a silent connection succeeded")
+				if err := <-lost; err == nil || con.Crashed() {
+					t.Errorf("a request on a silent connection ended with %v, crashed %v", err, con.Crashed())
 				}
 			}
 			if !http2 {
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // keepAlive finds a silent connection of HTTP/1.1 with a request in flight, where the wait for an answer cannot be told
@@ -28,11 +30,28 @@
 
 // Read notes the end of the connection by the peer.
 func (soc *socket) Read(buf []byte) (int, error) {
-	n, err := soc.Conn.Read(buf)
-	if err != nil && !soc.closedHere.Load() {
-		soc.endedThere.Store(true)
+	num, err := soc.Conn.Read(buf)
+	soc.note(err)
+	return num, err
+}
+
+// Write notes the end of the connection by the peer, which may show here first.
+func (soc *socket) Write(buf []byte) (int, error) {
+	num, err := soc.Conn.Write(buf)
+	soc.note(err)
+	return num, err
+}
+
+// note tells an end by the peer from an end by this side and from silence, which shows as a timeout.
+func (soc *socket) note(err error) {
+	if err == nil || soc.closedHere.Load() {
+		return
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return
 	}
-	return n, err
+	soc.endedThere.Store(true)
 }
 
 // Close closes the connection.
