--- a/internal/route/fpserve/serve_test.go
+++ b/internal/route/fpserve/serve_test.go
@@ -17,18 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 )
 
-func newUUID() (string, error) {
-	key, err := uuid.NewV7()
-	return key.String(), err
-}
-
-func newKey(t testing.TB) string {
-	key, err := newUUID()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 // protocols are the ways in which callers call.
 var protocols = map[string][]connect.ClientOption{
@@ -57,7 +46,7 @@
 		t.Run(name, func(t *testing.T) {
 			cli := newCaller(t, true)
 			for _, path := range []string{"/demo.Test/Idem", "/demo.Test/Once", "/demo.Keyed/Get"} {
-				res, err := call(rou, cli, path, name, newKey(t), opts...)
+				res, err := call(rou, cli, path, name, newKey(), opts...)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -204,6 +193,32 @@
 	}
 }
 
+// TestShutdown guards against a planned stop that cuts off calls in flight, or does not end.
+func TestShutdown(t *testing.T) {
+	for _, http2 := range []bool{true, false} {
+		sta := newStandin(t, "one")
+		sta.setFault(func(*http.Request) fault { return late })
+		rou := newRouter(t, nil, sta)
+		ended := make(chan error, 1)
+		go func() {
+			_, err := call(rou, newCaller(t, http2), "/demo.Test/Idem", "x", "")
+			ended <- err
+		}()
+		for rou.server.Running() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		err := rou.Config.Shutdown(ctx)
+		if running := rou.server.Running(); err != nil || running != 0 {
+			t.Errorf("http2 %v: Shutdown returned %v with %d calls in flight", http2, err, running)
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("http2 %v: the call was cut off: %v", http2, err)
+		}
+		cancel()
+	}
+}
+
 // TestUnconfirmedCancel guards against a slot that counts as free of a request that may still run, and against the loss of
 // an upstream that checks fences holding up the move of its slots.
 func TestUnconfirmedCancel(t *testing.T) {
