fplimit, fpbalance: add benchmarks of one decision

Change: a benchmark of an admission without a wait, and of a choice among 3,000 upstreams; the number of entry VMs of the experiment on choice is a flag.

--- a/internal/bench/fpmodel/choice_test.go
+++ b/internal/bench/fpmodel/choice_test.go
@@ -16,6 +16,7 @@
 var (
 	seed = flag.Uint64("seed", 1, "seed of the experiments")
 	out  = flag.String("out", "", "folder for plots")
+	vms  = flag.Int("vms", 10, "number of entry VMs in the experiment on choice")
 	full = flag.Bool("full", false, "run the experiments at full length, with all policies and deployments")
 )
 
@@ -142,6 +143,7 @@
 	}
 	t.Logf("seed %d, simulated time", *seed)
 	for _, dep := range deployments {
+		dep.VMs = *vms
 		lost := map[string]int{}
 		for _, flt := range faults() {
 			for _, pol := range compared {
--- a/internal/route/fpbalance/balancer_test.go
+++ b/internal/route/fpbalance/balancer_test.go
@@ -217,3 +217,21 @@
 		}
 	}
 }
+
+// BenchmarkChoose measures a choice among 3,000 upstreams, the size of section 2, and its end.
+func BenchmarkChoose(b *testing.B) {
+	bal := fpbalance.New(fpbalance.Config{
+		DataCentre: "a1",
+		Region:     "a",
+	})
+	bal.Update(ups(1000))
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		name, err := bal.Choose(now, fpbalance.Call{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		bal.Done(now, name, nil, time.Millisecond)
+	}
+}
--- a/internal/route/fplimit/limiter_test.go
+++ b/internal/route/fplimit/limiter_test.go
@@ -73,3 +73,21 @@
 		}
 	})
 }
+
+// BenchmarkAdmit measures an admission without a wait and its end.
+func BenchmarkAdmit(b *testing.B) {
+	lim := fplimit.New(fplimit.CoreConfig{
+		Concurrency: 64,
+	})
+	cal := fplimit.Call{
+		Caller:   "caller",
+		Deadline: time.Now().Add(time.Hour),
+	}
+	for b.Loop() {
+		done, err := lim.Admit(b.Context(), cal)
+		if err != nil {
+			b.Fatal(err)
+		}
+		done(fplimit.Result{})
+	}
+}
