fplimit: take a caller's share from the places of its class

One fault behind it: the share of a caller that is alone was 3/4 of the queue, which is also all of the normal class, so a flood left no place in its class. Change: the share counts within the class. Experiments on two callers and on an upstream that hangs. Conclusion: the queue now has room for a second caller, but fair shares are still missed: limits below 1 make the expected wait of the next request longer than its bound. TestCallers guards only against the absence of shares.

--- a/internal/bench/fpmodel/fault_test.go
+++ b/internal/bench/fpmodel/fault_test.go
@@ -202,6 +202,12 @@
 				clu.Worker(clu.Names()[0]).Fail(fperror.New(fperror.UpstreamLost, "lost"), 1)
 			},
 		},
+		{
+			name: "one of 8 hangs while its endpoints answer",
+			apply: func(clu *fpmodel.Cluster) {
+				clu.Worker(clu.Names()[0]).SetService(time.Hour)
+			},
+		},
 		{
 			name:  "all lose half of the requests",
 			apply: failAll(fperror.UpstreamLost, 0.5),
@@ -225,7 +231,10 @@
 					Deadline: time.Second,
 				},
 				fault: flt.apply,
-				end:   heal,
+				end: func(clu *fpmodel.Cluster) {
+					heal(clu)
+					clu.Worker(clu.Names()[0]).SetService(dep.Service)
+				},
 			}.run(t, dep)
 			third := length(2*time.Second, 10*time.Second)
 			lost[without] = out.res.Count(fpload.Failed) + out.res.Count(fpload.Refused)
@@ -332,3 +341,42 @@
 		}
 	}
 }
+
+// TestCallers measures a caller that asks for a tenth of saturation next to one that asks for 5 times saturation. With fair
+// shares the light caller would get all its answers; it does not yet, see docs/MEASUREMENTS.md. The test guards against the
+// absence of shares, in which both callers get the same part of what they ask for.
+func TestCallers(t *testing.T) {
+	dep := fpmodel.Haugland()
+	t.Logf("seed %d, simulated time", *seed)
+	out := plan{
+		load: fpload.Config{
+			Duration: length(3*time.Second, 15*time.Second),
+			Schedule: fpload.Schedule{
+				Rate: 5.1 * dep.Saturation(),
+			},
+			Callers: []fpload.Caller{
+				{
+					Name:   "light",
+					Weight: 0.1,
+				},
+				{
+					Name:   "flood",
+					Weight: 5,
+				},
+			},
+			Deadline: time.Second,
+		},
+		fault: func(*fpmodel.Cluster) {},
+	}.run(t, dep)
+	for _, name := range []string{"light", "flood"} {
+		t.Logf("| %s | %d | %d | %d |", name, out.res.Caller(name, fpload.Answered), out.res.Caller(name, fpload.Refused),
+			out.res.Caller(name, fpload.Failed))
+	}
+	share := func(name string) float64 {
+		answered := out.res.Caller(name, fpload.Answered)
+		return float64(answered) / float64(answered+out.res.Caller(name, fpload.Refused)+out.res.Caller(name, fpload.Failed))
+	}
+	if share("light") <= 2*share("flood") {
+		t.Errorf("the light caller got %.2f of its answers, the flood %.2f", share("light"), share("flood"))
+	}
+}
--- a/internal/route/fplimit/core.go
+++ b/internal/route/fplimit/core.go
@@ -15,7 +15,7 @@
 	DefaultMaxWait = 250 * time.Millisecond
 	// DefaultCeiling bounds the learned limit of an upstream that announced no concurrency.
 	DefaultCeiling = 64
-	// soleCallerShare is the part of the queue that one caller may fill while no other caller is active. The rest
+	// soleCallerShare is the part of its class's places that one caller may fill while no other caller is active. The rest
 	// lets a second caller in without an eviction; an evicted request would get its refusal later than 10 ms.
 	soleCallerShare = 0.75
 )
@@ -153,7 +153,7 @@
 	if cor.queue.class(cal.Priority) >= cor.classBound(cal.Priority) {
 		return fperror.New(fperror.Overloaded, "the queue has no place for priority class %d", cal.Priority)
 	}
-	if acc.waiting > cor.callerBound(now) {
+	if acc.waiting > cor.callerBound(now, cal.Priority) {
 		return fperror.New(fperror.Overloaded, "caller has %d of %d requests in the queue", acc.waiting-1, waiting)
 	}
 	wait := cor.expectedWait(now, cal, acc)
@@ -178,13 +178,14 @@
 	}
 }
 
-// callerBound returns the part of the queue that a caller may fill.
-func (cor *Core) callerBound(now time.Time) int {
+// callerBound returns the part of the queue that a caller may fill with requests of a class.
+func (cor *Core) callerBound(now time.Time, pri Priority) int {
+	places := cor.classBound(pri)
 	active, _ := cor.shares.active(now)
 	if active <= 1 {
-		return max(1, int(soleCallerShare*float64(cor.bound)))
+		return max(1, int(soleCallerShare*float64(places)))
 	}
-	return max(1, cor.bound/active)
+	return max(1, places/active)
 }
 
 // expectedWait estimates the time in the queue of a new request. Only the waiters that precede it count, so the backlog
--- a/internal/route/fplimit/core_test.go
+++ b/internal/route/fplimit/core_test.go
@@ -143,6 +143,26 @@
 	}
 }
 
+// TestSoleCallerLeavesPlaces guards against a caller that, while alone, fills all places of its class, so that the first
+// request of a second caller is refused.
+func TestSoleCallerLeavesPlaces(t *testing.T) {
+	cor := fplimit.NewCore(fplimit.CoreConfig{
+		Concurrency: 1,
+		MaxWait:     time.Hour,
+	})
+	cal := fplimit.Call{
+		Caller:   "flood",
+		Deadline: start.Add(time.Hour),
+	}
+	for range 1000 {
+		cor.Offer(start, cal)
+	}
+	cal.Caller = "light"
+	if verdict, _, err := cor.Offer(start, cal); verdict != fplimit.Wait {
+		t.Errorf("the second caller found no place: %v", err)
+	}
+}
+
 // TestHighPriorityFindsPlace guards against a queue that lower classes fill completely.
 func TestHighPriorityFindsPlace(t *testing.T) {
 	cor, now, cal := busyCore(t)
