--- a/internal/bench/fpupstream/upstream.go
+++ b/internal/bench/fpupstream/upstream.go
@@ -72,6 +72,9 @@
 	At int64 `json:"at"`
 }
 
+// RefusedEvent is the event of a request that was refused after its start was logged, and so did not run.
+const RefusedEvent = "refused"
+
 // New returns an upstream that does not serve yet.
 func New(cfg Config) *Upstream {
 	ups := &Upstream{
@@ -145,7 +148,14 @@
 func (ups *Upstream) logged(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		ups.write(req, "start")
-		defer ups.write(req, "end")
+		defer func() {
+			// A stand-in refuses a request that finds no place in its queue, which proves that it did not run.
+			if wri.Header().Get(fpstandin.RefusedHeader) != "" {
+				ups.write(req, RefusedEvent)
+				return
+			}
+			ups.write(req, "end")
+		}()
 		if req.Header.Get(CrashHeader) != "" {
 			ups.crash()
 			return
