--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -136,7 +136,7 @@
 		return 0, false
 	}
 	kin := fperror.KindOf(err)
-	if cal.Method().Keyed() && waitsForOwner(kin) {
+	if cal.Method().Keyed() && waitsForOwner(kin, len(cal.Tried())) {
 		return ownerPause/2 + time.Duration(rand.Int64N(int64(ownerPause))), true
 	}
 	losses := 0
@@ -157,10 +157,20 @@
 // ownerPause is the mean pause of a keyed call whose owner cannot be reached or whose slot moves.
 const ownerPause = 40 * time.Millisecond
 
-// waitsForOwner reports whether a keyed call waits, within its deadline, for the owner to come back or for a new owner.
-// Nothing was sent, so these tries add no load to upstreams and take nothing from the budget.
-func waitsForOwner(kin fperror.Kind) bool {
-	return kin == fperror.ConnectFailed || kin == fperror.NoOwner
+// maxFenced is how often a keyed call is sent again to an owner that has not got its grant yet.
+const maxFenced = 5
+
+// waitsForOwner reports whether a keyed call waits, within its deadline, for its owner to come back, for a new owner, or for
+// a new owner's grant. These tries take nothing from the budget, because an upstream gets at most a few of them.
+func waitsForOwner(kin fperror.Kind, tries int) bool {
+	switch kin {
+	case fperror.ConnectFailed, fperror.NoOwner:
+		return true
+	case fperror.UpstreamFenced:
+		return tries <= maxFenced
+	default:
+		return false
+	}
 }
 
 func (ent *Entry) succeeded(cal *fpserve.Call) {
@@ -169,7 +179,14 @@
 	}
 }
 
-// claim commits a claim in the group that homes the slot of what the caller sends on every resend.
+// claimPatience is how long a claim waits for its group to have a leader. An election takes up to 600 ms.
+const claimPatience = time.Second
+
+// claimPause is the pause between two tries to commit a claim.
+const claimPause = 25 * time.Millisecond
+
+// claim commits a claim in the group that homes the slot of what the caller sends on every resend. The attempt in the claim
+// makes it safe to submit it again when its answer was lost.
 func (ent *Entry) claim(ctx context.Context, cal *fpserve.Call, cla *fpwire.Claim) (*fpwire.ClaimResult, error) {
 	pla, err := ent.table.Locate(cal.Method().Service().Name(), cal.ClaimKey(), cal.Home())
 	if err != nil {
@@ -178,19 +195,48 @@
 	cla.Slot = pla.Slot
 	cla.Holder = ent.cfg.VM
 	cla.HolderIncarnation = ent.cfg.Incarnation
-	res, err := ent.cfg.Submit(ctx, pla.Group, &fpwire.Command{
+	cmd := &fpwire.Command{
 		Kind: &fpwire.Command_Claim{
 			Claim: cla,
 		},
-	})
-	switch fperror.KindOf(err) {
-	case fperror.NoQuorum, fperror.NotLeader, fperror.Overloaded:
-		if err != nil {
-			ent.count("claimUnavailable")
-			return nil, fperror.Wrap(fperror.ClaimUnavailable, err, "the claim cannot be committed in group %s", pla.Group)
+	}
+	end := time.Now().Add(claimPatience)
+	var unknown error
+	for {
+		res, err := ent.cfg.Submit(ctx, pla.Group, cmd)
+		if !isTransient(err) {
+			return res.GetClaim(), err
+		}
+		if fperror.Is(err, fperror.CommitUnknown) {
+			unknown = err
 		}
+		if ctx.Err() != nil || time.Now().After(end) {
+			return nil, claimFailure(err, unknown)
+		}
+		wait(ctx, claimPause)
+	}
+}
+
+// claimFailure returns the error of a claim that was given up. Once the outcome of a try is unknown, the claim may be
+// committed, whatever came of later tries.
+func claimFailure(last, unknown error) error {
+	if unknown != nil {
+		return unknown
+	}
+	return fperror.Wrap(fperror.ClaimUnavailable, last, "the claim cannot be committed")
+}
+
+// isTransient reports whether a command may get through when it is submitted again.
+func isTransient(err error) bool {
+	if err == nil {
+		return false
+	}
+	switch fperror.KindOf(err) {
+	case fperror.NoQuorum, fperror.NotLeader, fperror.CommitUnknown:
+		return true
+	default:
+		return false
 	}
-	return res.GetClaim(), err
 }
 
 func (ent *Entry) settle(ctx context.Context, cal *fpserve.Call, set *fpwire.Settle) error {
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
@@ -22,7 +22,6 @@
 	if att.conn.Crashed() && att.exc.ctx.Err() == nil {
 		err = att.reportCrash(err)
 	}
-	att.cancel()
 	att.abandon(err)
 	return att.mayHaveRun(err)
 }
@@ -66,10 +65,18 @@
 }
 
 // abandon cancels a request on its upstream in the background and then frees its place.
+//
+// An upstream that checks fences stops the requests of a slot by itself, before it confirms that it gave the slot up and
+// when its lease ends. The slot is therefore free of the request at once; otherwise the loss of an upstream would hold up
+// the move of its slots until the deadlines of the requests that were lost with it.
 func (att *attempt) abandon(err error) {
 	ser := att.exc.ser
+	fenced := att.target.Upstream.GetChecksFence()
+	if fenced {
+		att.free(time.Since(att.sent), err)
+	}
 	ser.leftover.Go(func() {
-		if !att.cancelUpstream() {
+		if !att.cancelUpstream() && !fenced {
 			att.waitForDeadline()
 		}
 		att.end(Result{Err: err})
