fpnode: serve callers by the server of fpserve

Cause: the handler for HTTP/2 without TLS of x/net takes connections over, and Shutdown does not wait for them (trial on a scratch copy: Shutdown returned with 1 call in flight). Ruled out: counting calls by hand before the stop, because net/http counts them already. Change: the server of fpserve, whose protocols are those of net/http.

--- a/internal/node/fpnode/run.go
+++ b/internal/node/fpnode/run.go
@@ -12,13 +12,12 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/h2c"
 
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator/fpoperatorconnect"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire/fpwireconnect"
 )
 
@@ -160,12 +159,11 @@
 	mux.Handle(path, http.MaxBytesHandler(han, maxAnnouncement))
 	mux.HandleFunc("/healthz", nod.serveHealth)
 	mux.Handle("/", nod.entry.Handler())
-	return &http.Server{
-		Handler:           h2c.NewHandler(mux, &http2.Server{}),
+	return fpserve.NewHTTPServer(mux, fpserve.Limits{
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout(),
 		IdleTimeout:       cfg.IdleTimeout(),
 		MaxHeaderBytes:    cfg.MaxHeaderBytes(),
-	}
+	})
 }
 
 // maxAnnouncement bounds the body of an announcement.
