--- a/internal/control/fpgroup/config.go
+++ b/internal/control/fpgroup/config.go
@@ -42,7 +42,8 @@
 	Storage *fplog.Log
 	// Machine is restored by New from the newest snapshot, and then used by one goroutine.
 	Machine Machine
-	// Send delivers messages to a VM. It may block, which holds up messages to that VM only, and may lose them.
+	// Send delivers messages to a VM. It may block until ctx ends, which holds up messages to that VM only, and may lose
+	// messages.
 	Send func(ctx context.Context, vm string, msgs []*fpwire.GroupMessage)
 	// Log may be nil.
 	Log *zap.Logger
@@ -62,7 +63,8 @@
 	// SnapshotBytes and SnapshotCount are how many bytes or entries are applied before the next snapshot is taken.
 	SnapshotBytes int
 	SnapshotCount int
-	// KeepEntries is how many entries before a snapshot stay in the log for members that lag a little.
+	// KeepEntries is how many entries before a snapshot stay in the log for members that lag a little, if they are not
+	// larger than SnapshotBytes.
 	KeepEntries int
 
 	// The limits below are not settings; tests lower some of them.
--- a/internal/control/fpgroup/lead.go
+++ b/internal/control/fpgroup/lead.go
@@ -24,9 +24,10 @@
 	// leaseAt is the time of the newest round that a quorum has acknowledged; leased is false before the first one.
 	leaseAt instant
 	leased  bool
-	// outgoing is the snapshot that is being sent to peers; wantSnapshot asks the driver to load it.
+	// outgoing is the snapshot that is being sent to peers; wantSnapshot asks the driver to load it, which sets loading.
 	outgoing     *fplog.Snapshot
 	wantSnapshot bool
+	loading      bool
 }
 
 type sentRound struct {
@@ -106,8 +107,9 @@
 			continue
 		}
 		pee := old[one.GetVm()]
-		bound := one.GetIncarnation() != 0
-		if pee == nil || bound && pee.incarnation != one.GetIncarnation() || !bound && pee.incarnation != 0 && pee.boundRound == 0 {
+		// A voter that becomes a learner keeps its peer: if its disk was lost, another incarnation will answer, and if it
+		// was only silent, what it has acknowledged is still there.
+		if pee == nil || one.GetIncarnation() != 0 && pee.incarnation != one.GetIncarnation() {
 			pee = cor.newPeer(one)
 		}
 		cor.lead.peers[one.GetVm()] = pee
