fpentry: put table and upstreams of one answer in force together

Cause: the model test of fpgrant found that a slot that returns to a restarted upstream can meet the address of the earlier process when a VM applies the table before the list of upstreams. Ruled out: the list first, because the earlier epoch would then meet the new process. Change: both change under one lock, and the owner of a flight is looked up under it after a check of the slot. No test of fpentry provokes the window itself; TestOneOwner of fpgrant shows it on the model.

--- a/internal/node/fpentry/entry.go
+++ b/internal/node/fpentry/entry.go
@@ -68,6 +68,7 @@
 	server     *fpserve.Server
 	prober     *fphealth.Prober
 	link       atomic.Pointer[fplimit.Link]
+	answers    sync.RWMutex // held while table and registry change together
 
 	mutex     sync.Mutex
 	services  map[string]*service
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/api/schema/fpoption"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -32,17 +34,35 @@
 	return defaultMaxDeadline
 }
 
+// maxRoutes is how often a keyed call looks again when its slot moves between the lookup of the slot and that of the owner.
+const maxRoutes = 3
+
 // route returns the owner of a keyed call.
 func (ent *Entry) route(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
+	var last error
+	for range maxRoutes {
+		tar, err := ent.routeOnce(ctx, cal)
+		if err == nil {
+			return tar, nil
+		}
+		last = err
+		if !fperror.Is(err, fperror.NoOwner) {
+			break
+		}
+	}
+	return nil, last
+}
+
+func (ent *Entry) routeOnce(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
 	name := cal.Method().Service().Name()
 	fli, err := ent.table.Route(ctx, name, cal.Key(), cal.Home(), cal.Deadline())
 	if err != nil {
 		return nil, err
 	}
-	ups := ent.registry.Upstream(fli.Owner())
-	if ups == nil {
+	ups, err := ent.ownerOf(fli)
+	if err != nil {
 		fli.Done(0)
-		return nil, fperror.New(fperror.NoOwner, "the address of the owner %s is not known", fli.Owner())
+		return nil, err
 	}
 	return &fpserve.Target{
 		Upstream: ups,
@@ -55,6 +75,20 @@
 	}, nil
 }
 
+// ownerOf returns the process that owns the slot of a flight, by the list of upstreams that belongs to the table.
+func (ent *Entry) ownerOf(fli *fptable.Flight) (*fpcontract.Upstream, error) {
+	ent.answers.RLock()
+	defer ent.answers.RUnlock()
+	if err := fli.Check(); err != nil {
+		return nil, err
+	}
+	ups := ent.registry.Upstream(fli.Owner())
+	if ups == nil {
+		return nil, fperror.New(fperror.NoOwner, "the address of the owner %s is not known", fli.Owner())
+	}
+	return ups, nil
+}
+
 // choose returns an upstream for a call without a key.
 func (ent *Entry) choose(_ context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
 	name := cal.Method().Service().Name()
--- a/internal/node/fpentry/poller.go
+++ b/internal/node/fpentry/poller.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -48,11 +49,12 @@
 	if err != nil {
 		return false
 	}
-	if _, err := ent.table.Apply(pol, res); err != nil {
+	changed, err := ent.applyAnswer(group, pol, res)
+	if err != nil {
 		ent.count("tableRefused")
 		return false
 	}
-	if ent.registry.Apply(group, res) {
+	if changed {
 		ent.upstreamsChanged()
 	}
 	ent.quarantine.Replace(group, res.GetQuarantined())
@@ -62,6 +64,17 @@
 	return true
 }
 
+// applyAnswer puts the table and the list of upstreams in force as one step, and reports whether the list changed. A slot
+// that went back to an upstream after its restart must not meet the address of the earlier process.
+func (ent *Entry) applyAnswer(group string, pol *fptable.Poll, res *fpwire.PollResponse) (bool, error) {
+	ent.answers.Lock()
+	defer ent.answers.Unlock()
+	if _, err := ent.table.Apply(pol, res); err != nil {
+		return false, err
+	}
+	return ent.registry.Apply(group, res), nil
+}
+
 func (ent *Entry) hold(req *fpwire.PollRequest) time.Duration {
 	if len(req.GetBusy()) > 0 {
 		return busyHold
