fpfence: hold nothing after the end of a lease

Cause: a new leader renews at once only an upstream that reports a version in force, and the fence went on to report the version of a set whose lease had ended. The slots may have another owner by then. Ruled out: a check by the leader, because only the upstream knows when its lease ended. Change: the set is dropped at the end of the lease, the version is then 0, and a version below the highest of the term is refused. The contract says so.

--- a/api/upstream/fpcontract/fpcontractconnect/upstream.connect.go
+++ b/api/upstream/fpcontract/fpcontractconnect/upstream.connect.go
@@ -121,7 +121,9 @@
 // UpstreamServiceClient is a client for the foxtailpulley.upstream.v1.UpstreamService service.
 type UpstreamServiceClient interface {
 	// Grant replaces or changes the set of slots that the upstream may serve and extends its lease. A call without echo
-	// only asks for a token.
+	// only asks for a token. The upstream refuses a lower term, and within a term a version below the highest it took. When
+	// its lease has ended it drops the set and reports version 0. It confirms a removed slot only when no request for it
+	// runs any more.
 	Grant(context.Context, *connect.Request[fpcontract.GrantRequest]) (*connect.Response[fpcontract.GrantResponse], error)
 	// Drain tells the upstream that no new work follows.
 	Drain(context.Context, *connect.Request[fpcontract.DrainRequest]) (*connect.Response[fpcontract.DrainResponse], error)
@@ -187,7 +189,9 @@
 // service.
 type UpstreamServiceHandler interface {
 	// Grant replaces or changes the set of slots that the upstream may serve and extends its lease. A call without echo
-	// only asks for a token.
+	// only asks for a token. The upstream refuses a lower term, and within a term a version below the highest it took. When
+	// its lease has ended it drops the set and reports version 0. It confirms a removed slot only when no request for it
+	// runs any more.
 	Grant(context.Context, *connect.Request[fpcontract.GrantRequest]) (*connect.Response[fpcontract.GrantResponse], error)
 	// Drain tells the upstream that no new work follows.
 	Drain(context.Context, *connect.Request[fpcontract.DrainRequest]) (*connect.Response[fpcontract.DrainResponse], error)
--- a/api/upstream/fpfence/fence_test.go
+++ b/api/upstream/fpfence/fence_test.go
@@ -220,6 +220,30 @@
 	}
 }
 
+// TestEndedLeaseHoldsNothing guards against a new leader that takes a set whose lease has ended for one that is still held,
+// and against a late repetition of an older set after that.
+func TestEndedLeaseHoldsNothing(t *testing.T) {
+	ups := newUpstream(t)
+	token := ups.grant(t, &fpcontract.GrantRequest{Term: 2}).Token
+	token = ups.grant(t, &fpcontract.GrantRequest{Term: 2, Echo: token, Version: 4, Added: slots(5, 3)}).Token
+	if res := ups.grant(t, &fpcontract.GrantRequest{Term: 3}); res.Version != 4 {
+		t.Errorf("a set that is held was reported as version %d", res.Version)
+	}
+	ups.advance(2 * time.Second)
+	res := ups.grant(t, &fpcontract.GrantRequest{Term: 3})
+	if res.Version != 0 {
+		t.Errorf("after the end of the lease the upstream reported version %d", res.Version)
+	}
+	res = ups.grant(t, &fpcontract.GrantRequest{Term: 3, Echo: res.Token, Version: 8, Added: slots(6, 4)})
+	if !res.Accepted || !ups.send(t.Context(), "a", 3, 5) {
+		t.Errorf("the new set was refused, or the old one is still in force: %v", res)
+	}
+	ups.advance(2 * time.Second)
+	if res := ups.grant(t, &fpcontract.GrantRequest{Term: 3, Echo: token, Version: 7, Added: slots(5, 3)}); res.Accepted {
+		t.Errorf("an older set was accepted: %v", res)
+	}
+}
+
 // TestRemovalWaits guards against a slot that is confirmed as released while a request for it still runs.
 func TestRemovalWaits(t *testing.T) {
 	ups := newUpstream(t)
--- a/api/upstream/fpfence/grant.go
+++ b/api/upstream/fpfence/grant.go
@@ -6,8 +6,11 @@
 
 // grant is what one group has granted.
 type grant struct {
-	term    uint64
+	term uint64
+	// version is that of the set in force; 0 when the lease has ended and the set was dropped.
 	version uint64
+	// highest is the newest version of the term that was taken.
+	highest uint64
 	slots   map[slot]uint64 // epochs
 	fences  map[fence]int   // number of granted slots and split keys for each fence
 	lease   lease
@@ -86,13 +89,29 @@
 }
 
 // accepts reports whether a request fits the grant in force. A lower term comes from a leader that was replaced. Within a
-// term, a replacement of the whole set must not be older than the set in force, and a change must be against it.
+// term, no version may be older than the newest that was taken, and a change must be against the set in force.
 func (gra *grant) accepts(req *fpcontract.GrantRequest) bool {
 	if req.GetTerm() < gra.term {
 		return false
 	}
-	if req.GetBase() != 0 {
-		return req.GetBase() == gra.version
+	if req.GetTerm() == gra.term && req.GetVersion() < gra.highest {
+		return false
+	}
+	return req.GetBase() == 0 || req.GetBase() == gra.version
+}
+
+// enter takes the term of a leader. Versions count anew in each term.
+func (gra *grant) enter(term uint64) {
+	if term > gra.term {
+		gra.term = term
+		gra.highest = 0
 	}
-	return req.GetTerm() > gra.term || req.GetVersion() >= gra.version
+}
+
+// drop forgets the set after its lease has ended. The version 0 tells a new leader that the upstream holds nothing, which it
+// must not be renewed on, because the slots may have other owners by then.
+func (gra *grant) drop() {
+	gra.version = 0
+	gra.slots = map[slot]uint64{}
+	gra.fences = map[fence]int{}
 }
--- a/api/upstream/fpfence/lease.go
+++ b/api/upstream/fpfence/lease.go
@@ -91,6 +91,7 @@
 			gra.lease = lease{}
 		}
 		if !fen.leased(gra, now) {
+			gra.drop()
 			fen.work.cancelAll(func(run *run) bool { return run.group == name })
 		}
 	}
--- a/api/upstream/fpfence/service.go
+++ b/api/upstream/fpfence/service.go
@@ -43,16 +43,20 @@
 	if msg.GetIncarnation() != fen.cfg.Incarnation || msg.GetTerm() < gra.term {
 		return false, nil
 	}
+	if !fen.leased(gra, fen.cfg.now()) {
+		gra.drop()
+	}
 	if msg.GetEcho() == 0 {
-		gra.term = msg.GetTerm()
+		gra.enter(msg.GetTerm())
 		return true, nil
 	}
 	issued, known := fen.tokens.at(msg.GetEcho())
 	if !known || !gra.accepts(msg) {
-		gra.term = msg.GetTerm()
+		gra.enter(msg.GetTerm())
 		return false, nil
 	}
-	gra.term = msg.GetTerm()
+	gra.enter(msg.GetTerm())
+	gra.highest = msg.GetVersion()
 	gra.change(msg)
 	gra.lease.extend(lease{
 		issued: issued,
@@ -72,6 +76,9 @@
 	if accepted && msg.GetEcho() != 0 && msg.GetTerm() == gra.term {
 		gra.version = msg.GetVersion()
 	}
+	if !fen.leased(gra, fen.cfg.now()) {
+		gra.drop()
+	}
 	return &fpcontract.GrantResponse{
 		Accepted:    accepted,
 		Token:       fen.tokens.issue(fen.cfg.now()),
