fpsystem: run a system with mutual TLS

Cause: mutual TLS was tested in fptls only; no run of whole processes used it. Ruled out: TLS in all system tests, because faults are injected below it either way.

--- a/internal/bench/fpsystem/system_test.go
+++ b/internal/bench/fpsystem/system_test.go
@@ -75,6 +75,10 @@
 	// homes gives the slots of each service to groups; nil gives all to the first group after root.
 	homes   func(service string) []map[string]any
 	timings map[string]string
+	// tls returns the settings of mutual TLS of a VM; nil stands for plain text on loopback.
+	tls func(vm string) map[string]any
+	// operator calls the operators' listeners; nil stands for plain text.
+	operator *http.Client
 }
 
 type groupSetting struct {
@@ -300,7 +304,7 @@
 		timings[name] = value
 	}
 	for _, mac := range sys.machines {
-		mac.settings = sys.writeJSON(mac.place.name+".json", map[string]any{
+		settings := map[string]any{
 			"vm":                   mac.place.name,
 			"dataCentre":           mac.place.dataCentre,
 			"region":               mac.place.region,
@@ -312,12 +316,22 @@
 				"peers":     map[string]any{"address": mac.peers},
 				"operators": map[string]any{"address": mac.operator},
 			},
-			"vms":               sys.vmSettings(mac.place.name, proxies),
-			"groups":            sys.layout.groups,
-			"plainTextLoopback": true,
-			"timings":           timings,
-		})
+			"vms":     sys.vmSettings(mac.place.name, proxies),
+			"groups":  sys.layout.groups,
+			"timings": timings,
+		}
+		sys.secure(settings, mac.place.name)
+		mac.settings = sys.writeJSON(mac.place.name+".json", settings)
+	}
+}
+
+// secure adds the proof of identity to the settings of a VM.
+func (sys *system) secure(settings map[string]any, name string) {
+	if sys.layout.tls == nil {
+		settings["plainTextLoopback"] = true
+		return
 	}
+	settings["tls"] = sys.layout.tls(name)
 }
 
 // vmSettings returns the list of VMs as one of them sees it: itself directly, all others through their proxies.
@@ -477,6 +491,9 @@
 
 // operators returns the operator service of a VM.
 func (sys *system) operators(name string) fpoperatorconnect.OperatorServiceClient {
+	if sys.layout.operator != nil {
+		return fpoperatorconnect.NewOperatorServiceClient(sys.layout.operator, "https://"+sys.machines[name].operator)
+	}
 	return fpoperatorconnect.NewOperatorServiceClient(http.DefaultClient, "http://"+sys.machines[name].operator)
 }
 
