fpclaim: enforce the configured limit of claims

Cause: maxClaims of the configuration was checked for its range and then not used. Ruled out: a check by the leader before the proposal, because it cannot tell a resend from a new claim. Change: the leader sets the limit in the command, so all replicas decide alike. Figures: TestConfiguredLimit passes; without the field the second claim was granted.

--- a/api/operator/fpoperator/fpoperatorconnect/operator.connect.go
+++ b/api/operator/fpoperator/fpoperatorconnect/operator.connect.go
@@ -77,7 +77,7 @@
 	Status(context.Context, *connect.Request[fpoperator.StatusRequest]) (*connect.Response[fpoperator.StatusResponse], error)
 	// Dump returns the whole state of one VM as JSON.
 	Dump(context.Context, *connect.Request[fpoperator.DumpRequest]) (*connect.Response[fpoperator.DumpResponse], error)
-	// Watch sends the status at every change, at most once a second.
+	// Watch sends the status once a second.
 	Watch(context.Context, *connect.Request[fpoperator.WatchRequest]) (*connect.ServerStreamForClient[fpoperator.WatchResponse], error)
 }
 
@@ -226,7 +226,7 @@
 	Status(context.Context, *connect.Request[fpoperator.StatusRequest]) (*connect.Response[fpoperator.StatusResponse], error)
 	// Dump returns the whole state of one VM as JSON.
 	Dump(context.Context, *connect.Request[fpoperator.DumpRequest]) (*connect.Response[fpoperator.DumpResponse], error)
-	// Watch sends the status at every change, at most once a second.
+	// Watch sends the status once a second.
 	Watch(context.Context, *connect.Request[fpoperator.WatchRequest], *connect.ServerStream[fpoperator.WatchResponse]) error
 }
 
--- a/internal/control/fpclaim/set.go
+++ b/internal/control/fpclaim/set.go
@@ -133,7 +133,11 @@
 }
 
 func (set *Set) grant(id uuid.UUID, cmd *fpwire.Claim, request fingerprint) (*fpwire.ClaimResult, error) {
-	if len(set.claims) >= set.cfg.Limit {
+	limit := set.cfg.Limit
+	if own := int(cmd.GetLimit()); own > 0 {
+		limit = min(limit, own)
+	}
+	if len(set.claims) >= limit {
 		return nil, fperror.New(fperror.ClaimSetFull, "the group holds %d claims already", len(set.claims))
 	}
 	set.claims[id] = &claim{
--- a/internal/control/fpclaim/set_test.go
+++ b/internal/control/fpclaim/set_test.go
@@ -165,6 +165,20 @@
 	})
 }
 
+// TestConfiguredLimit guards against a limit of the configuration that is not enforced.
+func TestConfiguredLimit(t *testing.T) {
+	set := New(Config{
+		Limit: 3,
+	})
+	for num, want := range []bool{true, false} {
+		cmd := command(key(startMS, uint64(num)), "v", uint64(num+1), startMS)
+		cmd.Limit = 1
+		if _, err := set.Claim(cmd); (err == nil) != want || !want && !fperror.Is(err, fperror.ClaimSetFull) {
+			t.Errorf("claim %d with a limit of 1: %v", num, err)
+		}
+	}
+}
+
 // TestResults guards the answer to each kind of resend.
 func TestResults(t *testing.T) {
 	set := New(Config{
--- a/internal/node/fpoperate/status.go
+++ b/internal/node/fpoperate/status.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Watch sends the status whenever it has changed, at most once a second.
+// Watch sends the status once a second.
 func (ser *Service) Watch(ctx context.Context, _ *connect.Request[fpoperator.WatchRequest], stream *connect.ServerStream[fpoperator.WatchResponse]) error {
 	for ctx.Err() == nil {
 		err := stream.Send(&fpoperator.WatchResponse{
--- a/internal/node/fpvoter/serve.go
+++ b/internal/node/fpvoter/serve.go
@@ -129,6 +129,8 @@
 	switch one := cmd.GetKind().(type) {
 	case *fpwire.Command_Claim:
 		one.Claim.NowMs = now
+		_, cfg := lea.vot.cfg.Configuration()
+		one.Claim.Limit = cfg.GetMaxClaims()
 	case *fpwire.Command_ReportCrash:
 		one.ReportCrash.NowMs = now
 	case *fpwire.Command_Settle, *fpwire.Command_LiftQuarantine:
