fpsystem: test connections that go silent for good

Cause, harness: network.silence did not silence connections. deliver selected between the closed channel and a timer that was due, which are both ready, and waitFlowing looked at the channel only while a cut was in force. The polls of the VM had gone silent as well. When the connection was given up after 1.58 to 1.76 s, the table had expired, the second attempt was refused at once, and the VM answered with the first error. The table was back 0.1 to 0.4 s later. Ruled out: the budget. Change: waitFlowing never lets bytes of a silent connection pass. fpentry has a call that was tried before wait up to 1 s for an expired table; all others are still refused at once as not run. Conclusion: silent connections are replaced, and one call per VM and service is moved.

--- a/internal/bench/fpsystem/proxy_test.go
+++ b/internal/bench/fpsystem/proxy_test.go
@@ -229,6 +229,16 @@
 	originPause = 10 * time.Millisecond
 )
 
+// isSilent reports whether the connection has gone silent for good.
+func (lnk *link) isSilent() bool {
+	select {
+	case <-lnk.silent:
+		return true
+	default:
+		return false
+	}
+}
+
 func (lnk *link) close() {
 	for _, end := range lnk.ends {
 		if end != nil {
@@ -307,6 +317,8 @@
 		return false
 	case <-time.After(time.Until(chk.due)):
 	}
+	// waitFlowing checks again whether the connection is silent: of a closed channel and a timer that is due, select takes
+	// either.
 	if !pro.network.waitFlowing(ctx, lnk, dir) {
 		return false
 	}
@@ -317,6 +329,10 @@
 // waitFlowing waits until the direction is not stalled. It never returns true for a silent connection.
 func (nwk *network) waitFlowing(ctx context.Context, lnk *link, dir direction) bool {
 	for {
+		if lnk.isSilent() {
+			<-ctx.Done()
+			return false
+		}
 		nwk.mutex.Lock()
 		stalled := nwk.faults[lnk.pair].stalled[dir]
 		changed := nwk.changed
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -34,8 +35,7 @@
 
 // route returns the owner of a keyed call.
 func (ent *Entry) route(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
-	name := cal.Method().Service().Name()
-	fli, err := ent.table.Route(ctx, name, cal.Key(), cal.Home(), cal.Deadline())
+	fli, err := ent.flight(ctx, cal)
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +55,26 @@
 	}, nil
 }
 
+// tablePatience is how long a call that was tried before waits for a table. When all connections go silent at once, the
+// table expires, and it was measured to be back 0.1 to 0.4 s after the loss of the calls in flight.
+const tablePatience = time.Second
+
+// tablePause is the pause between two looks at an expired table.
+const tablePause = 10 * time.Millisecond
+
+// flight looks up the owner of a keyed call. A call that was tried before may have run, so an expired table would leave
+// its outcome unknown to the caller; it waits for the table instead. All other calls are refused at once as not run.
+func (ent *Entry) flight(ctx context.Context, cal *fpserve.Call) (*fptable.Flight, error) {
+	end := time.Now().Add(tablePatience)
+	for {
+		fli, err := ent.table.Route(ctx, cal.Method().Service().Name(), cal.Key(), cal.Home(), cal.Deadline())
+		if !fperror.Is(err, fperror.TableExpired) || len(cal.Tried()) == 0 || ctx.Err() != nil || time.Now().After(end) {
+			return fli, err
+		}
+		wait(ctx, tablePause)
+	}
+}
+
 // choose returns an upstream for a call without a key.
 func (ent *Entry) choose(_ context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
 	name := cal.Method().Service().Name()
