fpsystem: print the leaders before a data centre is cut off

Ruled out: that a leader on the other side always leads to such refusals. Change: the test prints the leaders of both groups before the cut.

--- a/internal/bench/fpsystem/cut_test.go
+++ b/internal/bench/fpsystem/cut_test.go
@@ -100,6 +100,8 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
+	// A side that loses the leader of its group needs an election before its tables expire.
+	t.Logf("leader of group a: %s, of group b: %s", sys.awaitLeader("a1", "a").vm, sys.awaitLeader("b1", "b").vm)
 	cut := time.Now()
 	sys.network.cut([]string{"a1", "a2", "plan-a", "switch-a"}, []string{"b1", "b2", "plan-b", "switch-b"})
 	sys.checkSide(cut, sides["a"], keys["a"], keys["b"])
