fppeer: ask no silent VM while the others know no leader

A second poll during an election still waited 450 ms for the frozen VM as its last resort. It now gives up at once when other VMs answer without a leader, and the next poll finds the new one.

--- a/internal/bench/fpsystem/chaos_test.go
+++ b/internal/bench/fpsystem/chaos_test.go
@@ -19,6 +19,10 @@
 	chaosSeed     = flag.Uint64("chaos.seed", 7, "seed of the faults and the calls of TestChaos")
 )
 
+// callers is the number of callers of TestChaos. Together with the times of their requests it lets a killed upstream have
+// requests in flight.
+const callers = 12
+
 // chaos is a randomized run. Each of its goroutines draws from a source of its own.
 type chaos struct {
 	sys  *system
@@ -57,7 +61,7 @@
 	}
 	wat := sys.watchVersions()
 	first := sys.configuration("a1").GetVersion()
-	for num := range 8 {
+	for num := range callers {
 		cha.start(uint64(num), func(rnd *rand.Rand) { cha.call(rnd, num) })
 	}
 	for num := range 2 {
@@ -188,7 +192,7 @@
 	req := request{
 		path:     paths[rnd.IntN(len(paths))],
 		id:       newID(cha.sys.t),
-		sleep:    time.Duration(rnd.IntN(50)) * time.Millisecond,
+		sleep:    time.Duration(rnd.IntN(150)) * time.Millisecond,
 		deadline: time.Duration(300+rnd.IntN(1700)) * time.Millisecond,
 	}
 	req.key = fmt.Sprintf("caller-%d-%s", caller, req.id)
--- a/internal/node/fppeer/peers.go
+++ b/internal/node/fppeer/peers.go
@@ -158,6 +158,8 @@
 	prs   *Peers
 	req   request[T]
 	asked map[string]bool
+	// answered states that another VM has answered.
+	answered bool
 	// relays are the VMs that were asked to pass the call on.
 	relays map[string]bool
 	last   error
@@ -177,6 +179,10 @@
 		relays: map[string]bool{},
 	}
 	for _, vm := range prs.candidates(req.group) {
+		// If other VMs answer but know no leader, an election runs, and a silent VM would only hold up the next try.
+		if sea.answered && prs.isSilent(vm) {
+			continue
+		}
 		if answer, ok := sea.direct(ctx, vm); ok {
 			return answer, nil
 		}
@@ -204,8 +210,9 @@
 			return answer, true
 		}
 		// An error of a call whose caller has gone says nothing about the VM.
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && vm != sea.prs.cfg.VM && sea.prs.Peer(vm) != nil {
 			sea.prs.heard(vm, err)
+			sea.answered = sea.answered || err == nil
 		}
 		if leader != "" && sea.prs.isSilent(leader) {
 			return sea.relayed(ctx, vm)
