--- /dev/null
+++ b/internal/control/fpgrant/capacity_test.go
@@ -0,0 +1,170 @@
+package fpgrant
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
+)
+
+// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
+func cpuTime(b *testing.B) time.Duration {
+	var rus syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
+}
+
+// BenchmarkRenewals measures the keeper's CPU time for one second of renewals and announcements. The renewals are spread
+// evenly over the quarter of a lease, as they are when upstreams start independently, so that a tick finds few of them due.
+func BenchmarkRenewals(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 450, 1000, 2000} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			_, kee, now := bigTable(b, 1<<16, upstreams)
+			for num, hol := range kee.order {
+				hol.sent = now.Add(time.Duration(num) * DefaultLease / 4 / time.Duration(upstreams))
+			}
+			ticks, grants := 0, 0
+			before := cpuTime(b)
+			for b.Loop() {
+				end := now.Add(time.Second)
+				for now.Before(end) {
+					act := kee.Tick(now)
+					ticks++
+					grants += len(act.Grants)
+					answerAll(kee, now, act)
+					now = act.Next
+				}
+				for _, hol := range kee.order {
+					kee.Announce(now, &fpcontract.AnnounceRequest{
+						Upstream: hol.upstream,
+						Token:    uint64(now.UnixNano()),
+					})
+				}
+			}
+			used := cpuTime(b) - before
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(ticks)/float64(b.N), "ticks/s")
+			b.ReportMetric(float64(grants)/float64(b.N), "renewals/s")
+			b.ReportMetric(used.Seconds()/float64(b.N)*100, "%core")
+		})
+	}
+}
+
+// BenchmarkPolls measures the keeper's work for one poll without news, and for one whose answer carries one changed slot.
+func BenchmarkPolls(b *testing.B) {
+	for _, vms := range []int{10, 100, 400, 1000} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			tab, kee, now := bigTable(b, 1<<16, 450)
+			answerAll(kee, now, kee.Tick(now))
+			requests := make([]*fpwire.PollRequest, vms)
+			for num := range requests {
+				requests[num] = &fpwire.PollRequest{
+					Vm:           fmt.Sprintf("entry-%04d", num),
+					Incarnation:  1,
+					Table:        tab.Version().Version(),
+					Registry:     kee.registry,
+					RegistryTerm: 2,
+				}
+			}
+			poll := func() time.Duration {
+				before := cpuTime(b)
+				for _, req := range requests {
+					kee.Poll(now, req)
+					kee.News(now, req)
+					kee.PollAnswer(now, req)
+				}
+				return cpuTime(b) - before
+			}
+			var idle, news time.Duration
+			index := tab.Version().Index
+			epoch, moving := uint64(1), false
+			for b.Loop() {
+				idle += poll()
+				for _, req := range requests {
+					req.Table = tab.Version().Version()
+				}
+				index++
+				upd := change(5, "", "u0005", epoch, releasing, epoch, owned)
+				if moving {
+					upd = change(5, "", "u0005", epoch+1, owned, epoch, releasing)
+					epoch++
+				}
+				if err := apply(tab, index, upd); err != nil {
+					b.Fatal(err)
+				}
+				moving = !moving
+				news += poll()
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(idle.Nanoseconds())/float64(b.N*vms), "ns/idle-poll")
+			b.ReportMetric(float64(news.Nanoseconds())/float64(b.N*vms), "ns/news-poll")
+		})
+	}
+}
+
+// BenchmarkStore measures the CPU time to write a table's snapshot, to restore it, and to build the whole table for a poll.
+func BenchmarkStore(b *testing.B) {
+	for _, slots := range []uint32{1 << 10, 1 << 16, 1 << 20} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			tab, _, _ := bigTable(b, slots, 450)
+			var write, read, whole time.Duration
+			for b.Loop() {
+				start := cpuTime(b)
+				data, err := tab.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				written := cpuTime(b)
+				if err := (&Table{}).Restore(data); err != nil {
+					b.Fatal(err)
+				}
+				restored := cpuTime(b)
+				entries, _ := tab.Delta(Position{})
+				if _, err := proto.Marshal(&fpwire.PollResponse{Entries: entries}); err != nil {
+					b.Fatal(err)
+				}
+				write += written - start
+				read += restored - written
+				whole += cpuTime(b) - restored
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(write.Microseconds())/1e3/float64(b.N), "snapshot-ms")
+			b.ReportMetric(float64(read.Microseconds())/1e3/float64(b.N), "restore-ms")
+			b.ReportMetric(float64(whole.Microseconds())/1e3/float64(b.N), "full-answer-ms")
+		})
+	}
+}
+
+// BenchmarkConfigurationAnswer measures the leader's CPU time to build and encode the answers that carry a configuration.
+func BenchmarkConfigurationAnswer(b *testing.B) {
+	for _, size := range []int{4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			tab, kee, now := bigTable(b, 1<<10, 10)
+			kee.Configure(Position{Term: 2, Index: 9}, &fpoperator.Configuration{
+				Schema: string(make([]byte, size)),
+			})
+			req := &fpwire.PollRequest{
+				Vm:           "entry-0001",
+				Table:        tab.Version().Version(),
+				Registry:     kee.registry,
+				RegistryTerm: 2,
+			}
+			for b.Loop() {
+				kee.Poll(now, req)
+				data, err := proto.Marshal(kee.PollAnswer(now, req))
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(data)))
+			}
+		})
+	}
+}
