--- a/internal/node/fppeer/bytes_test.go
+++ b/internal/node/fppeer/bytes_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"os/exec"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -13,7 +16,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
@@ -24,23 +26,11 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire/fpwireconnect"
 )
 
-// meter counts the bytes on the connections that a listener accepts.
+// meter counts the bytes on the connections of a client.
 type meter struct {
-	net.Listener
 	received, sent atomic.Int64
 }
 
-func (met *meter) Accept() (net.Conn, error) {
-	con, err := met.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &meteredConn{
-		Conn:  con,
-		meter: met,
-	}, nil
-}
-
 type meteredConn struct {
 	net.Conn
 	meter *meter
@@ -247,7 +237,7 @@
 }
 
 // BenchmarkControlCall measures the bytes on a plain-text loopback connection, framing and flow control of HTTP/2 included,
-// and the CPU time of client and server together, for each control message. TLS is not included.
+// and the CPU time of client and server, which are two processes, for each control message. TLS is not included.
 func BenchmarkControlCall(b *testing.B) {
 	ctx := context.Background()
 	type call func(peer fpwireconnect.PeerServiceClient, ups fpcontractconnect.UpstreamServiceClient, rou fpcontractconnect.RouterServiceClient) error
@@ -264,36 +254,33 @@
 			return err
 		}
 	}
-	idle := benchAnswer(0, 0)
 	for _, one := range []struct {
-		name   string
-		size   proto.Message
-		answer *fpwire.PollResponse
-		call   call
+		name string
+		call call
 	}{
-		{"pollIdle", benchPoll(0), idle, poll(benchPoll(0))},
+		{"pollIdle", poll(benchPoll(0))},
 		// The same poll without compression of the answer shows what compression costs.
-		{"pollIdlePlain", benchPoll(0), idle, poll(benchPoll(0))},
-		{"pollLoad16", benchPoll(16), idle, poll(benchPoll(16))},
-		{"pollLoad128", benchPoll(128), idle, poll(benchPoll(128))},
-		{"pollRegistry45", benchPoll(0), benchAnswer(45, 0), poll(benchPoll(0))},
-		{"pollRegistry450", benchPoll(0), benchAnswer(450, 0), poll(benchPoll(0))},
-		{"pollConfiguration4KiB", benchPoll(0), benchAnswer(0, 4<<10), poll(benchPoll(0))},
-		{"pollConfiguration64KiB", benchPoll(0), benchAnswer(0, 64<<10), poll(benchPoll(0))},
-		{"pollMoved18", benchPoll(0), benchMoved(18), poll(benchPoll(0))},
-		{"pollMoved8192", benchPoll(0), benchMoved(8192), poll(benchPoll(0))},
-		{"relay", benchAnnouncement(), idle, func(peer fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
+		{"pollIdlePlain", poll(benchPoll(0))},
+		{"pollLoad16", poll(benchPoll(16))},
+		{"pollLoad128", poll(benchPoll(128))},
+		{"pollRegistry45", poll(benchPoll(0))},
+		{"pollRegistry450", poll(benchPoll(0))},
+		{"pollConfiguration4KiB", poll(benchPoll(0))},
+		{"pollConfiguration64KiB", poll(benchPoll(0))},
+		{"pollMoved18", poll(benchPoll(0))},
+		{"pollMoved8192", poll(benchPoll(0))},
+		{"relay", func(peer fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
 			_, err := peer.Relay(ctx, connect.NewRequest(&fpwire.RelayRequest{
 				Announce: benchAnnouncement(),
 				Group:    "bergen-a",
 			}))
 			return err
 		}},
-		{"announce", benchAnnouncement(), idle, func(_ fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, rou fpcontractconnect.RouterServiceClient) error {
+		{"announce", func(_ fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, rou fpcontractconnect.RouterServiceClient) error {
 			_, err := rou.Announce(ctx, connect.NewRequest(benchAnnouncement()))
 			return err
 		}},
-		{"renewal", nil, idle, func(_ fpwireconnect.PeerServiceClient, ups fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
+		{"renewal", func(_ fpwireconnect.PeerServiceClient, ups fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
 			_, err := ups.Grant(ctx, connect.NewRequest(&fpcontract.GrantRequest{
 				Group:       "bergen-a",
 				Term:        12,
@@ -305,16 +292,17 @@
 			}))
 			return err
 		}},
-		{"heartbeat", benchSteps(), idle, func(peer fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
+		{"heartbeat", func(peer fpwireconnect.PeerServiceClient, _ fpcontractconnect.UpstreamServiceClient, _ fpcontractconnect.RouterServiceClient) error {
 			_, err := peer.Step(ctx, connect.NewRequest(benchSteps()))
 			return err
 		}},
-		{"claims1", benchClaims(1), idle, submit(1)},
-		{"claims32", benchClaims(32), idle, submit(32)},
+		{"claims1", submit(1)},
+		{"claims32", submit(32)},
 	} {
 		b.Run(one.name, func(b *testing.B) {
-			met, client := meteredServer(b, one.answer)
-			url := "http://" + met.Addr().String()
+			url := "http://" + startServer(b, one.name)
+			met, client := meteredClient()
+			defer client.CloseIdleConnections()
 			var options []connect.ClientOption
 			if one.name == "pollIdlePlain" {
 				options = append(options, connect.WithAcceptCompression("gzip", nil, nil))
@@ -327,61 +315,141 @@
 					b.Fatal(err)
 				}
 			}
-			received, sent, used := met.received.Load(), met.sent.Load(), cpuTime(b)
+			served := serverTime(b, client, url)
+			received, sent, used := met.received.Load(), met.sent.Load(), cpuTime()
 			for b.Loop() {
 				if err := one.call(peer, ups, rou); err != nil {
 					b.Fatal(err)
 				}
 			}
+			took := cpuTime() - used
 			b.ReportMetric(0, "ns/op")
-			b.ReportMetric(float64(met.received.Load()-received)/float64(b.N), "request-B")
-			b.ReportMetric(float64(met.sent.Load()-sent)/float64(b.N), "answer-B")
-			b.ReportMetric(float64((cpuTime(b)-used).Microseconds())/float64(b.N), "cpu-µs")
-			if one.size != nil {
-				b.ReportMetric(float64(proto.Size(one.size)), "message-B")
-			}
+			b.ReportMetric(float64(met.sent.Load()-sent)/float64(b.N), "request-B")
+			b.ReportMetric(float64(met.received.Load()-received)/float64(b.N), "answer-B")
+			b.ReportMetric(float64(took.Microseconds())/float64(b.N), "client-cpu-µs")
+			b.ReportMetric(float64((serverTime(b, client, url)-served).Microseconds())/float64(b.N), "server-cpu-µs")
 		})
 	}
 }
 
-func meteredServer(b *testing.B, answer *fpwire.PollResponse) (*meter, *http.Client) {
+// meteredClient returns the client that VMs use for each other, with its bytes counted.
+func meteredClient() (*meter, *http.Client) {
+	client := fptls.NewClient(fptls.ClientConfig{
+		DialTimeout: time.Second,
+	})
+	met := &meter{}
+	tra := client.Transport.(*http.Transport)
+	dial := tra.DialContext
+	tra.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		con, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{
+			Conn:  con,
+			meter: met,
+		}, nil
+	}
+	return met, client
+}
+
+// serverVariable makes the test binary serve the calls of a benchmark, so that the CPU time of client and server can be told
+// apart. Its value is the name of the call.
+const serverVariable = "FPPEER_BENCH_SERVER"
+
+func TestMain(m *testing.M) {
+	if name := os.Getenv(serverVariable); name != "" {
+		serve(name)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// timePath answers with the CPU time of the server's process in nanoseconds.
+const timePath = "/cpuTime"
+
+// serve prints its address and serves until its standard input ends.
+func serve(name string) {
+	answers := map[string]*fpwire.PollResponse{
+		"pollRegistry45":         benchAnswer(45, 0),
+		"pollRegistry450":        benchAnswer(450, 0),
+		"pollConfiguration4KiB":  benchAnswer(0, 4<<10),
+		"pollConfiguration64KiB": benchAnswer(0, 64<<10),
+		"pollMoved18":            benchMoved(18),
+		"pollMoved8192":          benchMoved(8192),
+	}
+	answer := answers[name]
+	if answer == nil {
+		answer = benchAnswer(0, 0)
+	}
 	mux := http.NewServeMux()
 	mux.Handle(fpwireconnect.NewPeerServiceHandler(&echo{
 		answer: answer,
 	}))
 	mux.Handle(fpcontractconnect.NewUpstreamServiceHandler(upstreamEcho{}))
 	mux.Handle(fpcontractconnect.NewRouterServiceHandler(routerEcho{}))
+	mux.HandleFunc(timePath, func(wri http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(wri, int64(cpuTime()))
+	})
 	cfg := fptls.ServerConfig{
 		Handler: mux,
 	}
 	lis, err := fptls.Listen(context.Background(), cfg, netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		panic(err)
+	}
+	srv := fptls.NewServer(cfg)
+	go func() { _ = fptls.Serve(srv, lis) }()
+	fmt.Println(lis.Addr())
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startServer starts a process that serves a call and returns its address.
+func startServer(b *testing.B, name string) string {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), serverVariable+"="+name)
+	input, err := cmd.StdinPipe()
 	if err != nil {
 		b.Fatal(err)
 	}
-	met := &meter{
-		Listener: lis,
+	output, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
 	}
-	srv := fptls.NewServer(cfg)
-	done := make(chan error, 1)
-	go func() { done <- fptls.Serve(srv, met) }()
-	client := fptls.NewClient(fptls.ClientConfig{
-		DialTimeout: time.Second,
-	})
 	b.Cleanup(func() {
-		client.CloseIdleConnections()
-		_ = srv.Close()
-		if err := <-done; err != nil {
+		_ = input.Close()
+		if err := cmd.Wait(); err != nil {
 			b.Error(err)
 		}
 	})
-	return met, client
+	var address string
+	if _, err := fmt.Fscanln(output, &address); err != nil {
+		b.Fatal(err)
+	}
+	return address
+}
+
+func serverTime(b *testing.B, client *http.Client, url string) time.Duration {
+	res, err := client.Get(url + timePath)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	var nanos int64
+	if _, err := fmt.Fscan(res.Body, &nanos); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(nanos)
 }
 
 // cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
-func cpuTime(b *testing.B) time.Duration {
+func cpuTime() time.Duration {
 	var rus syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
-		b.Fatal(err)
+		panic(err)
 	}
 	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
 }
--- a/internal/upstream/fpconn/capacity_test.go
+++ b/internal/upstream/fpconn/capacity_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
 	"sync/atomic"
 	"syscall"
@@ -49,29 +52,98 @@
 	return num, err
 }
 
+// upstreamVariable makes the test binary serve as the upstreams of a benchmark, so that the benchmark measures the router's
+// end of the connections only. Its value is not used.
+const upstreamVariable = "FPCONN_BENCH_UPSTREAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(upstreamVariable) != "" {
+		serveUpstreams()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveUpstreams prints its address and serves until its standard input ends. At any path it answers with the number of
+// connections accepted so far and the bytes on them.
+func serveUpstreams() {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	met := &meteredListener{
+		Listener: lis,
+	}
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintln(wri, met.conns.Load(), met.bytes.Load())
+		}),
+		Protocols: &http.Protocols{},
+	}
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	go func() { _ = srv.Serve(met) }()
+	fmt.Println(lis.Addr())
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startUpstreams starts a process of upstreams and returns its address.
+func startUpstreams(b *testing.B) string {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), upstreamVariable+"=1")
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	output, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = input.Close()
+		if err := cmd.Wait(); err != nil {
+			b.Error(err)
+		}
+	})
+	var address string
+	if _, err := fmt.Fscanln(output, &address); err != nil {
+		b.Fatal(err)
+	}
+	return address
+}
+
 // idleTime is how long the benchmark watches idle connections, several intervals of pings.
 const idleTime = 6 * time.Second
 
-// BenchmarkIdle measures what idle pools cost: connections, bytes and CPU time a second, and memory. Pools and upstreams
-// share the process, so CPU time and memory are those of both ends.
+// BenchmarkIdle measures what idle pools cost: connections, and for each of them bytes (in both directions) and CPU time a
+// second and memory of the router. The upstreams are another process.
 func BenchmarkIdle(b *testing.B) {
 	for _, upstreams := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
+			address := startUpstreams(b)
+			tra := &http.Transport{
+				Protocols: &http.Protocols{},
 			}
-			met := &meteredListener{
-				Listener: lis,
+			tra.Protocols.SetUnencryptedHTTP2(true)
+			client := &http.Client{
+				Transport: tra,
 			}
-			srv := &http.Server{
-				Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-				Protocols: &http.Protocols{},
+			defer client.CloseIdleConnections()
+			counts := func() (conns, bytes float64) {
+				res, err := client.Get("http://" + address)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer res.Body.Close()
+				if _, err := fmt.Fscan(res.Body, &conns, &bytes); err != nil {
+					b.Fatal(err)
+				}
+				return conns, bytes
 			}
-			srv.Protocols.SetUnencryptedHTTP2(true)
-			go func() { _ = srv.Serve(met) }()
-			defer srv.Close()
 			for b.Loop() {
+				known, _ := counts()
 				before := memory()
 				pools := fpconn.New(fpconn.Config{})
 				list := make([]*fpcontract.Upstream, upstreams)
@@ -79,19 +151,21 @@
 					list[num] = &fpcontract.Upstream{
 						Name:           fmt.Sprint("u", num),
 						Incarnation:    1,
-						Address:        lis.Addr().String(),
+						Address:        address,
 						MaxConnections: 110,
 					}
 				}
-				met.conns.Store(0)
 				pools.Update(list)
 				time.Sleep(2 * time.Second)
-				bytes, used := met.bytes.Load(), cpuTime(b)
+				_, bytes := counts()
+				used := cpuTime(b)
 				time.Sleep(idleTime)
-				conns := float64(met.conns.Load())
+				took := cpuTime(b) - used
+				conns, later := counts()
+				conns -= known
 				b.ReportMetric(conns, "connections")
-				b.ReportMetric(float64(met.bytes.Load()-bytes)/idleTime.Seconds()/conns, "B/s/connection")
-				b.ReportMetric(float64((cpuTime(b)-used).Microseconds())/idleTime.Seconds()/conns, "cpu-µs/s/connection")
+				b.ReportMetric((later-bytes)/idleTime.Seconds()/conns, "B/s/connection")
+				b.ReportMetric(float64(took.Microseconds())/idleTime.Seconds()/conns, "cpu-µs/s/connection")
 				b.ReportMetric((memory()-before)/1024/conns, "KiB/connection")
 				pools.Close()
 			}
