--- a/internal/node/fpentry/capacity_test.go
+++ b/internal/node/fpentry/capacity_test.go
@@ -23,7 +23,7 @@
 )
 
 // benchEntry returns an entry VM without tables, and the answer of a group with the given numbers of slots and upstreams.
-func benchEntry(b *testing.B, slots uint32, upstreams int) (*Entry, *fpwire.PollResponse) {
+func benchEntry(slots uint32, upstreams int) (*Entry, *fpwire.PollResponse) {
 	cfg := &fpoperator.Configuration{
 		Services: []*fpoperator.Service{{
 			Name:  benchService,
@@ -106,7 +106,7 @@
 			var kept float64
 			for b.Loop() {
 				before := heap()
-				ent, res := benchEntry(b, size.slots, size.upstreams)
+				ent, res := benchEntry(size.slots, size.upstreams)
 				take(b, ent, res)
 				for _, ups := range ent.registry.All() {
 					ent.limiter(ups)
@@ -132,7 +132,7 @@
 func BenchmarkUpstreamList(b *testing.B) {
 	for _, upstreams := range []int{100, 1000, 4000} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			ent, res := benchEntry(b, 1<<10, upstreams)
+			ent, res := benchEntry(1<<10, upstreams)
 			defer ent.Close()
 			take(b, ent, res)
 			res.Full, res.Entries = false, nil
--- a/internal/node/fppeer/bytes_test.go
+++ b/internal/node/fppeer/bytes_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -332,6 +333,58 @@
 	}
 }
 
+// BenchmarkConfigurationSpread measures the time until all VMs, with a connection each, have an answer with a configuration
+// of 64 KiB from one server, with its bytes and the server's CPU time. All polls are sent at once.
+func BenchmarkConfigurationSpread(b *testing.B) {
+	for _, vms := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			url := "http://" + startServer(b, "pollConfiguration64KiB")
+			polls := make([]func() error, vms)
+			meters := make([]*meter, vms)
+			for num := range polls {
+				met, client := meteredClient()
+				defer client.CloseIdleConnections()
+				meters[num] = met
+				peer := fpwireconnect.NewPeerServiceClient(client, url)
+				polls[num] = func() error {
+					_, err := peer.Poll(context.Background(), connect.NewRequest(benchPoll(0)))
+					return err
+				}
+			}
+			spread := func() {
+				var wgr sync.WaitGroup
+				for _, poll := range polls {
+					wgr.Go(func() {
+						if err := poll(); err != nil {
+							b.Error(err)
+						}
+					})
+				}
+				wgr.Wait()
+			}
+			spread()
+			_, client := meteredClient()
+			defer client.CloseIdleConnections()
+			received, served := total(meters), serverTime(b, client, url)
+			for b.Loop() {
+				spread()
+			}
+			b.ReportMetric(float64(total(meters)-received)/float64(b.N), "B/change")
+			b.ReportMetric(float64((serverTime(b, client, url)-served).Milliseconds())/float64(b.N), "server-cpu-ms")
+			b.ReportMetric(b.Elapsed().Seconds()*1e3/float64(b.N), "ms/change")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func total(meters []*meter) int64 {
+	sum := int64(0)
+	for _, met := range meters {
+		sum += met.received.Load()
+	}
+	return sum
+}
+
 // meteredClient returns the client that VMs use for each other, with its bytes counted.
 func meteredClient() (*meter, *http.Client) {
 	client := fptls.NewClient(fptls.ClientConfig{
