--- /dev/null
+++ b/internal/upstream/fpconn/capacity_test.go
@@ -0,0 +1,191 @@
+package fpconn_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
+)
+
+// meteredListener counts the connections that it accepts and the bytes on them, in both directions.
+type meteredListener struct {
+	net.Listener
+	conns, bytes atomic.Int64
+}
+
+func (met *meteredListener) Accept() (net.Conn, error) {
+	con, err := met.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	met.conns.Add(1)
+	return &meteredConn{
+		Conn:  con,
+		bytes: &met.bytes,
+	}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (con *meteredConn) Read(data []byte) (int, error) {
+	num, err := con.Conn.Read(data)
+	con.bytes.Add(int64(num))
+	return num, err
+}
+
+func (con *meteredConn) Write(data []byte) (int, error) {
+	num, err := con.Conn.Write(data)
+	con.bytes.Add(int64(num))
+	return num, err
+}
+
+// upstreamVariable makes the test binary serve as the upstreams of a benchmark, so that the benchmark measures the router's
+// end of the connections only. Its value is not used.
+const upstreamVariable = "FPCONN_BENCH_UPSTREAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(upstreamVariable) != "" {
+		serveUpstreams()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// serveUpstreams prints its address and serves until its standard input ends. At any path it answers with the number of
+// connections accepted so far and the bytes on them.
+func serveUpstreams() {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	met := &meteredListener{
+		Listener: lis,
+	}
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintln(wri, met.conns.Load(), met.bytes.Load())
+		}),
+		Protocols: &http.Protocols{},
+	}
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	go func() { _ = srv.Serve(met) }()
+	fmt.Println(lis.Addr())
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// startUpstreams starts a process of upstreams and returns its address.
+func startUpstreams(b *testing.B) string {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), upstreamVariable+"=1")
+	input, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	output, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = input.Close()
+		if err := cmd.Wait(); err != nil {
+			b.Error(err)
+		}
+	})
+	var address string
+	if _, err := fmt.Fscanln(output, &address); err != nil {
+		b.Fatal(err)
+	}
+	return address
+}
+
+// idleTime is how long the benchmark watches idle connections, several intervals of pings.
+const idleTime = 6 * time.Second
+
+// BenchmarkIdle measures what idle pools cost: connections, and for each of them bytes (in both directions) and CPU time a
+// second and memory of the router. The upstreams are another process.
+func BenchmarkIdle(b *testing.B) {
+	for _, upstreams := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			address := startUpstreams(b)
+			tra := &http.Transport{
+				Protocols: &http.Protocols{},
+			}
+			tra.Protocols.SetUnencryptedHTTP2(true)
+			client := &http.Client{
+				Transport: tra,
+			}
+			defer client.CloseIdleConnections()
+			counts := func() (conns, bytes float64) {
+				res, err := client.Get("http://" + address)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer res.Body.Close()
+				if _, err := fmt.Fscan(res.Body, &conns, &bytes); err != nil {
+					b.Fatal(err)
+				}
+				return conns, bytes
+			}
+			for b.Loop() {
+				known, _ := counts()
+				before := memory()
+				pools := fpconn.New(fpconn.Config{})
+				list := make([]*fpcontract.Upstream, upstreams)
+				for num := range list {
+					list[num] = &fpcontract.Upstream{
+						Name:           fmt.Sprint("u", num),
+						Incarnation:    1,
+						Address:        address,
+						MaxConnections: 110,
+					}
+				}
+				pools.Update(list)
+				time.Sleep(2 * time.Second)
+				_, bytes := counts()
+				used := cpuTime(b)
+				time.Sleep(idleTime)
+				took := cpuTime(b) - used
+				conns, later := counts()
+				conns -= known
+				b.ReportMetric(conns, "connections")
+				b.ReportMetric((later-bytes)/idleTime.Seconds()/conns, "B/s/connection")
+				b.ReportMetric(float64(took.Microseconds())/idleTime.Seconds()/conns, "cpu-µs/s/connection")
+				b.ReportMetric((memory()-before)/1024/conns, "KiB/connection")
+				pools.Close()
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func memory() float64 {
+	var mem runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&mem)
+	return float64(mem.HeapAlloc) + float64(mem.StackInuse)
+}
+
+// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
+func cpuTime(b *testing.B) time.Duration {
+	var rus syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
+}
