fpentry: wait for the address of an owner after a change of leader

Ruled out: the address of the earlier leader's list, because the upstream may have restarted meanwhile. Change: a keyed call waits at most 1 s for the address.

--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -36,35 +36,31 @@
 	return defaultMaxDeadline
 }
 
-// maxRoutes is how often a keyed call looks again when its slot moves between the lookup of the slot and that of the owner.
-const maxRoutes = 3
+// ownerPatience is how long a keyed call waits for the address of its owner, which a new leader publishes when it has heard
+// from the upstream.
+const ownerPatience = time.Second
 
 // route returns the owner of a keyed call.
 func (ent *Entry) route(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
-	var last error
-	for range maxRoutes {
-		tar, err := ent.routeOnce(ctx, cal)
+	end := time.Now().Add(ownerPatience)
+	for {
+		fli, err := ent.flight(ctx, cal)
+		if err != nil {
+			return nil, err
+		}
+		ups, err := ent.ownerOf(fli)
 		if err == nil {
-			return tar, nil
+			return keyedTarget(fli, ups), nil
 		}
-		last = err
-		if !fperror.Is(err, fperror.NoOwner) {
-			break
+		fli.Done(0)
+		if !fperror.Is(err, fperror.NoOwner) || ctx.Err() != nil || time.Now().After(end) {
+			return nil, err
 		}
+		wait(ctx, tablePause)
 	}
-	return nil, last
 }
 
-func (ent *Entry) routeOnce(ctx context.Context, cal *fpserve.Call) (*fpserve.Target, error) {
-	fli, err := ent.flight(ctx, cal)
-	if err != nil {
-		return nil, err
-	}
-	ups, err := ent.ownerOf(fli)
-	if err != nil {
-		fli.Done(0)
-		return nil, err
-	}
+func keyedTarget(fli *fptable.Flight, ups *fpcontract.Upstream) *fpserve.Target {
 	return &fpserve.Target{
 		Upstream: ups,
 		Group:    fli.Place().Group,
@@ -73,7 +69,7 @@
 		Check:    fli.Check,
 		Changed:  fli.Changed,
 		Done:     func(busy time.Duration, _ error) { fli.Done(busy) },
-	}, nil
+	}
 }
 
 // ownerOf returns the process that owns the slot of a flight, by the list of upstreams that belongs to the table.
