fpconn: leave all connections of a pool when one went silent

Cause: the rule that spared the other connections looked for a broken one, and a request can fail a moment before its connection is known as broken; the next try then met another silent connection. Change: the request that was lost tells the pool, which sends no more requests on connections that were open then.

--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -22,6 +22,9 @@
 // before its slot counts as free of it.
 func (att *attempt) lost(cause error) error {
 	err := att.lostError(cause)
+	if errors.Is(err, ErrSilent) {
+		att.conn.Doubt()
+	}
 	if att.conn.Crashed() && att.exc.ctx.Err() == nil {
 		err = att.reportCrash(err)
 	}
--- a/internal/upstream/fpconn/keep.go
+++ b/internal/upstream/fpconn/keep.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 )
 
@@ -39,26 +38,41 @@
 	return nil
 }
 
-// sweep forgets broken connections. When one of them went silent, the others may be silent as well and not found yet, so they
-// are left to the requests that they carry. The caller holds the mutex.
+// sweep forgets broken connections. The caller holds the mutex.
 func (pl *Pool) sweep() {
-	silent := slices.ContainsFunc(pl.conns, func(con *Conn) bool { return con.Broken() && !con.Crashed() })
 	kept := pl.conns[:0]
 	for _, con := range pl.conns {
-		switch {
-		case con.Broken():
+		if con.Broken() {
 			pl.cfg.Count("connectionLost")
-		case silent:
-			con.leaving.Store(true)
-			con.closeIfIdle()
-		default:
-			kept = append(kept, con)
+			continue
 		}
+		kept = append(kept, con)
 	}
 	clear(pl.conns[len(kept):])
 	pl.conns = kept
 }
 
+// Doubt is called when a request on the connection got no answer though the upstream did not end it. The other connections
+// of the pool may be silent as well and not found yet, so all that were open then get no more requests and are closed when
+// they are idle. Others are opened at once.
+func (con *Conn) Doubt() {
+	pl := con.pool
+	pl.mutex.Lock()
+	defer pl.mutex.Unlock()
+	if con.leaving.Load() {
+		return
+	}
+	con.leaving.Store(true)
+	for _, one := range pl.conns {
+		one.leaving.Store(true)
+		one.closeIfIdle()
+	}
+	pl.cfg.Count("connectionsDoubted")
+	pl.conns = nil
+	pl.announce()
+	pl.rouse()
+}
+
 // add opens a connection that begin has counted.
 func (pl *Pool) add(ctx context.Context) {
 	con, err := pl.connect(ctx)
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,9 +123,6 @@
 	if pl.retired.Load() {
 		return nil, nil, fperror.New(fperror.ConnectFailed, "%s has gone", pl.upstream.GetName())
 	}
-	if slices.ContainsFunc(pl.conns, (*Conn).Broken) {
-		pl.sweep()
-	}
 	if con := pl.leastUsed(); con != nil {
 		return con, nil, nil
 	}
