--- a/internal/control/fpgrant/capacity_test.go
+++ b/internal/control/fpgrant/capacity_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"testing"
 	"time"
 
@@ -10,18 +9,10 @@
 
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpmeter"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
-// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
-func cpuTime(b *testing.B) time.Duration {
-	var rus syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
-}
-
 func later(one, two time.Time) time.Time {
 	if one.After(two) {
 		return one
@@ -39,7 +30,7 @@
 				hol.sent = now.Add(time.Duration(num) * DefaultLease / 4 / time.Duration(upstreams))
 			}
 			ticks, grants := 0, 0
-			before := cpuTime(b)
+			before := fpmeter.CPUTime()
 			for b.Loop() {
 				end := now.Add(time.Second)
 				for now.Before(end) {
@@ -56,7 +47,7 @@
 					})
 				}
 			}
-			used := cpuTime(b) - before
+			used := fpmeter.CPUTime() - before
 			b.ReportMetric(0, "ns/op")
 			b.ReportMetric(float64(ticks)/float64(b.N), "ticks/s")
 			b.ReportMetric(float64(grants)/float64(b.N), "renewals/s")
@@ -82,13 +73,13 @@
 				}
 			}
 			poll := func() time.Duration {
-				before := cpuTime(b)
+				before := fpmeter.CPUTime()
 				for _, req := range requests {
 					kee.Poll(now, req)
 					kee.News(now, req)
 					kee.PollAnswer(now, req)
 				}
-				return cpuTime(b) - before
+				return fpmeter.CPUTime() - before
 			}
 			var idle, news time.Duration
 			index := tab.Version().Index
@@ -124,23 +115,23 @@
 			tab, _, _ := bigTable(b, slots, 450)
 			var write, read, whole time.Duration
 			for b.Loop() {
-				start := cpuTime(b)
+				start := fpmeter.CPUTime()
 				data, err := tab.Snapshot()
 				if err != nil {
 					b.Fatal(err)
 				}
-				written := cpuTime(b)
+				written := fpmeter.CPUTime()
 				if err := (&Table{}).Restore(data); err != nil {
 					b.Fatal(err)
 				}
-				restored := cpuTime(b)
+				restored := fpmeter.CPUTime()
 				entries, _ := tab.Delta(Position{})
 				if _, err := proto.Marshal(&fpwire.PollResponse{Entries: entries}); err != nil {
 					b.Fatal(err)
 				}
 				write += written - start
 				read += restored - written
-				whole += cpuTime(b) - restored
+				whole += fpmeter.CPUTime() - restored
 			}
 			b.ReportMetric(0, "ns/op")
 			b.ReportMetric(float64(write.Microseconds())/1e3/float64(b.N), "snapshot-ms")
--- a/internal/node/fpentry/capacity_test.go
+++ b/internal/node/fpentry/capacity_test.go
@@ -4,14 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
-	"syscall"
 	"testing"
-	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpmeter"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpschema"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgrant"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
@@ -136,23 +135,14 @@
 			defer ent.Close()
 			take(b, ent, res)
 			res.Full, res.Entries = false, nil
-			before := cpuTime(b)
+			before := fpmeter.CPUTime()
 			for b.Loop() {
 				res.Registry++
 				res.Upstreams[rand.IntN(upstreams)].Incarnation++
 				take(b, ent, res)
 			}
 			b.ReportMetric(0, "ns/op")
-			b.ReportMetric(float64((cpuTime(b)-before).Microseconds())/float64(b.N), "cpu-µs/list")
+			b.ReportMetric(float64((fpmeter.CPUTime()-before).Microseconds())/float64(b.N), "cpu-µs/list")
 		})
 	}
 }
-
-// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
-func cpuTime(b *testing.B) time.Duration {
-	var rus syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
-}
--- a/internal/node/fppeer/bytes_test.go
+++ b/internal/node/fppeer/bytes_test.go
@@ -8,11 +8,9 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -22,6 +20,7 @@
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpmeter"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire/fpwireconnect"
@@ -32,23 +31,6 @@
 	received, sent atomic.Int64
 }
 
-type meteredConn struct {
-	net.Conn
-	meter *meter
-}
-
-func (con *meteredConn) Read(data []byte) (int, error) {
-	num, err := con.Conn.Read(data)
-	con.meter.received.Add(int64(num))
-	return num, err
-}
-
-func (con *meteredConn) Write(data []byte) (int, error) {
-	num, err := con.Conn.Write(data)
-	con.meter.sent.Add(int64(num))
-	return num, err
-}
-
 // echo answers the calls that are measured with the messages of a quiet deployment.
 type echo struct {
 	fpwireconnect.UnimplementedPeerServiceHandler
@@ -301,7 +283,7 @@
 		{"claims32", submit(32)},
 	} {
 		b.Run(one.name, func(b *testing.B) {
-			url := "http://" + startServer(b, one.name)
+			url := "http://" + fpmeter.StartPeer(b, serverVariable, one.name)
 			met, client := meteredClient()
 			defer client.CloseIdleConnections()
 			var options []connect.ClientOption
@@ -317,13 +299,13 @@
 				}
 			}
 			served := serverTime(b, client, url)
-			received, sent, used := met.received.Load(), met.sent.Load(), cpuTime()
+			received, sent, used := met.received.Load(), met.sent.Load(), fpmeter.CPUTime()
 			for b.Loop() {
 				if err := one.call(peer, ups, rou); err != nil {
 					b.Fatal(err)
 				}
 			}
-			took := cpuTime() - used
+			took := fpmeter.CPUTime() - used
 			b.ReportMetric(0, "ns/op")
 			b.ReportMetric(float64(met.sent.Load()-sent)/float64(b.N), "request-B")
 			b.ReportMetric(float64(met.received.Load()-received)/float64(b.N), "answer-B")
@@ -338,7 +320,7 @@
 func BenchmarkConfigurationSpread(b *testing.B) {
 	for _, vms := range []int{50, 100, 200, 400} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
-			url := "http://" + startServer(b, "pollConfiguration64KiB")
+			url := "http://" + fpmeter.StartPeer(b, serverVariable, "pollConfiguration64KiB")
 			polls := make([]func() error, vms)
 			meters := make([]*meter, vms)
 			for num := range polls {
@@ -398,9 +380,10 @@
 		if err != nil {
 			return nil, err
 		}
-		return &meteredConn{
-			Conn:  con,
-			meter: met,
+		return &fpmeter.Conn{
+			Conn:     con,
+			Received: &met.received,
+			Sent:     &met.sent,
 		}, nil
 	}
 	return met, client
@@ -442,7 +425,7 @@
 	mux.Handle(fpcontractconnect.NewUpstreamServiceHandler(upstreamEcho{}))
 	mux.Handle(fpcontractconnect.NewRouterServiceHandler(routerEcho{}))
 	mux.HandleFunc(timePath, func(wri http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintln(wri, int64(cpuTime()))
+		_, _ = fmt.Fprintln(wri, int64(fpmeter.CPUTime()))
 	})
 	cfg := fptls.ServerConfig{
 		Handler: mux,
@@ -457,34 +440,6 @@
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
-// startServer starts a process that serves a call and returns its address.
-func startServer(b *testing.B, name string) string {
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), serverVariable+"="+name)
-	input, err := cmd.StdinPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	output, err := cmd.StdoutPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() {
-		_ = input.Close()
-		if err := cmd.Wait(); err != nil {
-			b.Error(err)
-		}
-	})
-	var address string
-	if _, err := fmt.Fscanln(output, &address); err != nil {
-		b.Fatal(err)
-	}
-	return address
-}
-
 func serverTime(b *testing.B, client *http.Client, url string) time.Duration {
 	res, err := client.Get(url + timePath)
 	if err != nil {
@@ -497,12 +452,3 @@
 	}
 	return time.Duration(nanos)
 }
-
-// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
-func cpuTime() time.Duration {
-	var rus syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
-		panic(err)
-	}
-	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
-}
--- a/internal/upstream/fpconn/capacity_test.go
+++ b/internal/upstream/fpconn/capacity_test.go
@@ -6,14 +6,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"runtime"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpmeter"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 )
 
@@ -29,29 +28,13 @@
 		return nil, err
 	}
 	met.conns.Add(1)
-	return &meteredConn{
-		Conn:  con,
-		bytes: &met.bytes,
+	return &fpmeter.Conn{
+		Conn:     con,
+		Received: &met.bytes,
+		Sent:     &met.bytes,
 	}, nil
 }
 
-type meteredConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (con *meteredConn) Read(data []byte) (int, error) {
-	num, err := con.Conn.Read(data)
-	con.bytes.Add(int64(num))
-	return num, err
-}
-
-func (con *meteredConn) Write(data []byte) (int, error) {
-	num, err := con.Conn.Write(data)
-	con.bytes.Add(int64(num))
-	return num, err
-}
-
 // upstreamVariable makes the test binary serve as the upstreams of a benchmark, so that the benchmark measures the router's
 // end of the connections only. Its value is not used.
 const upstreamVariable = "FPCONN_BENCH_UPSTREAM"
@@ -86,34 +69,6 @@
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
-// startUpstreams starts a process of upstreams and returns its address.
-func startUpstreams(b *testing.B) string {
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), upstreamVariable+"=1")
-	input, err := cmd.StdinPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	output, err := cmd.StdoutPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() {
-		_ = input.Close()
-		if err := cmd.Wait(); err != nil {
-			b.Error(err)
-		}
-	})
-	var address string
-	if _, err := fmt.Fscanln(output, &address); err != nil {
-		b.Fatal(err)
-	}
-	return address
-}
-
 // idleTime is how long the benchmark watches idle connections, several intervals of pings.
 const idleTime = 6 * time.Second
 
@@ -122,7 +77,7 @@
 func BenchmarkIdle(b *testing.B) {
 	for _, upstreams := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
-			address := startUpstreams(b)
+			address := fpmeter.StartPeer(b, upstreamVariable, "1")
 			tra := &http.Transport{
 				Protocols: &http.Protocols{},
 			}
@@ -158,9 +113,9 @@
 				pools.Update(list)
 				time.Sleep(2 * time.Second)
 				_, bytes := counts()
-				used := cpuTime(b)
+				used := fpmeter.CPUTime()
 				time.Sleep(idleTime)
-				took := cpuTime(b) - used
+				took := fpmeter.CPUTime() - used
 				conns, later := counts()
 				conns -= known
 				b.ReportMetric(conns, "connections")
@@ -180,12 +135,3 @@
 	runtime.ReadMemStats(&mem)
 	return float64(mem.HeapAlloc) + float64(mem.StackInuse)
 }
-
-// cpuTime returns the CPU time that the process has used. Unlike elapsed time it hardly depends on other processes.
-func cpuTime(b *testing.B) time.Duration {
-	var rus syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &rus); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(rus.Utime.Nano() + rus.Stime.Nano())
-}
