fpnode: log an initial configuration that is refused

Ruled out: ending the process, because an operator can still apply a correct configuration. Change: the refusal is logged once with its faults, and the proposals end.

--- a/internal/bench/fpsystem/system_test.go
+++ b/internal/bench/fpsystem/system_test.go
@@ -171,6 +171,19 @@
 
 // newSystem starts the VMs of a layout and waits until a configuration is in force on all of them.
 func newSystem(t *testing.T, lay layout) *system {
+	t.Helper()
+	sys := prepareSystem(t, lay)
+	for _, plc := range lay.vms {
+		sys.startVM(plc.name)
+	}
+	for _, plc := range lay.vms {
+		sys.awaitHealthy(plc.name)
+	}
+	return sys
+}
+
+// prepareSystem writes the settings and the configuration of a layout and starts nothing.
+func prepareSystem(t *testing.T, lay layout) *system {
 	t.Helper()
 	sys := &system{
 		t:         t,
@@ -190,12 +203,6 @@
 		sys.addMachine(plc)
 	}
 	sys.writeSettings()
-	for _, plc := range lay.vms {
-		sys.startVM(plc.name)
-	}
-	for _, plc := range lay.vms {
-		sys.awaitHealthy(plc.name)
-	}
 	return sys
 }
 
--- a/internal/node/fpnode/duties.go
+++ b/internal/node/fpnode/duties.go
@@ -15,6 +15,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/api/operator/fpoperator"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpconfig"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpschema"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpsettings"
@@ -55,6 +56,10 @@
 		if err == nil {
 			return nil
 		}
+		if fperror.Is(err, fperror.InvalidConfiguration) {
+			nod.cfg.Log.Error("the initial configuration was refused", zap.String("file", path), zap.Error(err))
+			return err
+		}
 		sleep(ctx, initialInterval)
 	}
 	return nil
