fpcontrol, fpkeeper: keep the placement of keys through lapses of the lease, and pace renewals

Ruled out: a change of the leader (the term stays the same in the trace).

Change: the placement waits while the lease has ended and this VM still leads, and cuts its orders after 300 ms; an order that was withheld says nothing of its upstream; grants are sent at twice the steady rate at most, those of ranges that nobody serves first; the load of a service is looked at every 300 ms instead of at each plan. The other order of calls made TestOneOwner fail with seed 26: a confirmed release of a range that was kept counted for its next move.

--- a/internal/control/fpkeeper/balance.go
+++ b/internal/control/fpkeeper/balance.go
@@ -23,7 +23,7 @@
 	// leastMoves and movesShare bound the moves that start together: a number, or a share of the upstreams.
 	leastMoves = 8
 	movesShare = 0.15
-	// balancePause is the time between moves of one service.
+	// balancePause is the time between looks at the load of one service, each of which adds up the counts of all keys.
 	balancePause = 300 * time.Millisecond
 	// fewRequests is the rate per second below which load says nothing.
 	fewRequests = 5
@@ -119,7 +119,7 @@
 	}
 	for _, ran := range vie.Ranges {
 		if sta := byName[ran.GetUpstream()]; sta != nil && sta.ups.GetBorn() == ran.GetBorn() {
-			sta.rate += rate(loa.sum(ran.GetFirst(), ran.GetLast()))
+			sta.rate += perSecond(loa.sum(ran.GetFirst(), ran.GetLast()))
 			sta.ranges = append(sta.ranges, ran)
 		}
 	}
@@ -197,9 +197,10 @@
 
 // rebalance starts moves of keys from busy upstreams to others, and to those that have none.
 func (kee *Keeper) rebalance(now time.Time, vie View) []*fpstate.Range {
-	if now.Sub(kee.moved[vie.Service]) < balancePause {
+	if now.Sub(kee.looked[vie.Service]) < balancePause {
 		return nil
 	}
+	kee.looked[vie.Service] = now
 	all := slices.DeleteFunc(kee.standings(now, vie), func(sta *standing) bool {
 		return sta.ups.GetLeaving() || kee.silent(now, sta)
 	})
@@ -211,9 +212,6 @@
 		}
 		moves = append(moves, part)
 	}
-	if len(moves) > 0 {
-		kee.moved[vie.Service] = now
-	}
 	return moves
 }
 
@@ -242,7 +240,7 @@
 	if part == nil {
 		return nil
 	}
-	moved := rate(kee.Load(service).sum(part.GetFirst(), part.GetLast()))
+	moved := perSecond(kee.Load(service).sum(part.GetFirst(), part.GetLast()))
 	most.rate -= moved
 	most.ranges = without(most.ranges, part)
 	least.rate += moved
@@ -287,7 +285,7 @@
 		if part == nil || best != nil && part.GetLast()-part.GetFirst() >= best.GetLast()-best.GetFirst() {
 			return
 		}
-		moved := rate(loa.sum(part.GetFirst(), part.GetLast()))
+		moved := perSecond(loa.sum(part.GetFirst(), part.GetLast()))
 		after := max((most.rate-moved)/most.capacity, (least.rate+moved)/least.capacity)
 		if least.empty() || after < most.use()-gainUse {
 			best = part
@@ -352,9 +350,9 @@
 	var best *fpstate.Range
 	sum, first := 0.0, ran.GetFirst()
 	for last := ran.GetFirst(); last <= ran.GetLast(); last++ {
-		sum += rate(loa.counts[last])
-		for first < last && sum-rate(loa.counts[first]) >= enough*wanted {
-			sum -= rate(loa.counts[first])
+		sum += perSecond(loa.counts[last])
+		for first < last && sum-perSecond(loa.counts[first]) >= enough*wanted {
+			sum -= perSecond(loa.counts[first])
 			first++
 		}
 		if sum < enough*wanted || sum > tooMuch*wanted {
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -20,8 +20,11 @@
 package fpkeeper
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
@@ -39,6 +42,11 @@
 	arrivalSlack = 500 * time.Millisecond
 	// retryPause is the time between tries of an order that failed.
 	retryPause = 150 * time.Millisecond
+	// paceFactor bounds the grants a second as a multiple of the steady rate of renewals, and paceBurst those at once. When
+	// the renewals of all ranges are due together, as after a change of the leader, the calls would otherwise keep the
+	// leader from confirming its lease.
+	paceFactor = 2
+	paceBurst  = 32
 	// maxRefused is how often a connection for the first grant of a range may fail before another upstream is chosen.
 	maxRefused = 1
 	// maxUnanswered is how many grants without an answer are sent to an upstream that gives no other sign of life.
@@ -78,6 +86,9 @@
 	Fenced bool
 	// NotSent states that no connection could be opened, so that the order had no effect.
 	NotSent bool
+	// Withheld states that the leader could not be sure to lead, so that it did not send the order. It says nothing of the
+	// upstream.
+	Withheld bool
 	// Handover is what the upstream returned for the next holder.
 	Handover string
 }
@@ -156,7 +167,8 @@
 	targets  map[place]string
 	first    map[string]time.Time
 	loads    map[string]*Load
-	moved    map[string]time.Time
+	looked   map[string]time.Time // when the load of a service was last looked at for moves
+	paces    map[string]*rate.Limiter
 }
 
 // New returns the keeper of a leadership that starts now. No fence above lastFence has been granted before.
@@ -176,7 +188,8 @@
 		targets:  map[place]string{},
 		first:    map[string]time.Time{},
 		loads:    map[string]*Load{},
-		moved:    map[string]time.Time{},
+		looked:   map[string]time.Time{},
+		paces:    map[string]*rate.Limiter{},
 	}
 }
 
@@ -236,7 +249,7 @@
 func (kee *Keeper) grantEnded(now time.Time, ord Order, res Result, tas *task) {
 	lea := kee.lease(now, ord.Range.GetFence())
 	lea.grants--
-	if !res.Fenced && !res.NotSent {
+	if !res.Fenced && !res.NotSent && !res.Withheld {
 		lea.sent = true
 		lea.bound = later(lea.bound, kee.holdEnd(now))
 		if !res.Answered {
@@ -246,7 +259,10 @@
 	if tas == nil {
 		return
 	}
-	tas.next = now.Add(retryPause)
+	tas.next = now.Add(min(kee.cfg.Renewal, retryPause<<min(tas.refused, 8)))
+	if res.Withheld {
+		return
+	}
 	tas.ended = now
 	switch {
 	case res.Answered:
@@ -291,6 +307,7 @@
 		return nil, kee.partition(now, vie)
 	}
 	var orders []Order
+	var renewals []grant
 	var granted, moving, taken, kept []*fpstate.Range
 	for _, ran := range vie.Ranges {
 		tas := kee.task(vie.Service, ran)
@@ -298,7 +315,7 @@
 		switch {
 		case ran.GetUpstream() == "" || dead(vie, ran, holder):
 			taken = append(taken, kee.assign(now, vie, ran, "")...)
-		case ran.GetPhase() == fpstate.Phase_PHASE_RELEASING && kee.keeps(now, ran, holder):
+		case ran.GetPhase() == fpstate.Phase_PHASE_RELEASING && !tas.inFlight && kee.keeps(now, ran, holder):
 			kept = append(kept, withPhase(ran, fpstate.Phase_PHASE_GRANTING))
 		case ran.GetPhase() == fpstate.Phase_PHASE_RELEASING:
 			orders, taken = kee.releasing(now, vie, ran, tas, holder, orders, taken)
@@ -312,11 +329,16 @@
 			if ran.GetPhase() == fpstate.Phase_PHASE_GRANTING && tas.confirmed {
 				granted = append(granted, withPhase(ran, fpstate.Phase_PHASE_SERVING))
 			}
-			if !pausesRenewal(vie, tas, holder) {
-				orders = kee.order(now, vie.Service, Grant, ran, tas, holder, orders)
+			if !pausesRenewal(vie, tas, holder) && tas.due(now) {
+				renewals = append(renewals, grant{
+					ran:    ran,
+					tas:    tas,
+					holder: holder,
+				})
 			}
 		}
 	}
+	orders = kee.paced(now, vie, renewals, orders)
 	var changes []Change
 	changes = appendChange(changes, vie.Service, granted, "granted")
 	changes = appendChange(changes, vie.Service, moving, "leaving")
@@ -354,8 +376,20 @@
 	return next
 }
 
+// task returns the work on a range in its phase. What was done in the phases before is forgotten: a range that comes back to
+// a phase, as one that was to move and was kept, starts it anew.
 func (kee *Keeper) task(service string, ran *fpstate.Range) *task {
 	pla := placeOf(service, ran)
+	for other := range fpstate.Phase_name {
+		if phase := fpstate.Phase(other); phase != pla.phase {
+			delete(kee.tasks, place{
+				service: pla.service,
+				first:   pla.first,
+				fence:   pla.fence,
+				phase:   phase,
+			})
+		}
+	}
 	tas := kee.tasks[pla]
 	if tas == nil {
 		tas = &task{}
@@ -377,9 +411,43 @@
 	return other != nil && other.GetId() != holder.GetId() && other.GetBorn() > holder.GetBorn()
 }
 
+// grant is a grant that is due.
+type grant struct {
+	ran    *fpstate.Range
+	tas    *task
+	holder *fpstate.Upstream
+}
+
+// due reports whether the next order for a range may be sent.
+func (tas *task) due(now time.Time) bool { return !tas.inFlight && !now.Before(tas.next) }
+
+// paced adds the grants that are due as far as the pace allows: first those of ranges that nobody serves yet, then the
+// renewals that have been due for the longest time.
+func (kee *Keeper) paced(now time.Time, vie View, due []grant, orders []Order) []Order {
+	pace := kee.paces[vie.Service]
+	if pace == nil {
+		pace = rate.NewLimiter(0, paceBurst)
+		kee.paces[vie.Service] = pace
+	}
+	pace.SetLimitAt(now, rate.Limit(paceFactor*float64(len(vie.Ranges))/kee.cfg.Renewal.Seconds()))
+	slices.SortStableFunc(due, func(one, other grant) int {
+		if one.ran.GetPhase() != other.ran.GetPhase() {
+			return cmp.Compare(one.ran.GetPhase(), other.ran.GetPhase())
+		}
+		return one.tas.next.Compare(other.tas.next)
+	})
+	for _, gra := range due {
+		if !pace.AllowN(now, 1) {
+			break
+		}
+		orders = kee.order(now, vie.Service, Grant, gra.ran, gra.tas, gra.holder, orders)
+	}
+	return orders
+}
+
 // order adds an order if one is due.
 func (kee *Keeper) order(now time.Time, service string, act Action, ran *fpstate.Range, tas *task, ups *fpstate.Upstream, orders []Order) []Order {
-	if tas.inFlight || now.Before(tas.next) || ups == nil {
+	if !tas.due(now) || ups == nil {
 		return orders
 	}
 	tas.inFlight = true
--- a/internal/control/fpkeeper/keeper_test.go
+++ b/internal/control/fpkeeper/keeper_test.go
@@ -1,6 +1,7 @@
 package fpkeeper
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -180,3 +181,59 @@
 		t.Errorf("upstream %s holds the keys, though a call to %s may still take effect", got, moving.GetUpstream())
 	}
 }
+
+// TestWithheldGrants guards against an upstream that loses its keys because the leader was not sure to lead, and so sent it
+// nothing.
+func TestWithheldGrants(t *testing.T) {
+	rig := newRig(t, "one", "two")
+	for len(rig.ranges) == 0 {
+		rig.now = rig.now.Add(100 * time.Millisecond)
+		rig.plan()
+	}
+	before := rig.ranges[0].GetUpstream()
+	const withheld = 2 * time.Second
+	for end := rig.now.Add(withheld); rig.now.Before(end); rig.now = rig.now.Add(50 * time.Millisecond) {
+		for _, ord := range rig.plan() {
+			rig.end(ord, Result{
+				Withheld: true,
+			})
+		}
+	}
+	if got := rig.ranges[0].GetUpstream(); got != before {
+		t.Errorf("the keys went from %s to %s although no order was sent", before, got)
+	}
+	rig.settle()
+}
+
+// TestRenewalsAfterLeaderChange guards against a leader that is kept busy by the renewals of all ranges, which are due
+// together when it takes over, so that it loses its lease; and against renewals that are spread over so long that ranges lapse.
+func TestRenewalsAfterLeaderChange(t *testing.T) {
+	var names []string
+	for num := range 231 {
+		names = append(names, fmt.Sprintf("upstream-%03d", num))
+	}
+	rig := newRig(t, names...)
+	rig.settle()
+	rig.keeper = New(rig.now, rig.fence, Config{})
+	const step = 20 * time.Millisecond
+	renewed := map[uint64]bool{}
+	took := time.Duration(0)
+	for len(renewed) < len(rig.ranges) && took < DefaultRenewal {
+		orders := rig.plan()
+		const steady = 231 * step / DefaultRenewal
+		if most := paceBurst + paceFactor*int(steady+1); len(orders) > most {
+			t.Fatalf("%d orders at once, want %d at most", len(orders), most)
+		}
+		for _, ord := range orders {
+			renewed[ord.Range.GetFence()] = true
+			rig.end(ord, Result{
+				Answered: true,
+			})
+		}
+		rig.now = rig.now.Add(step)
+		took += step
+	}
+	if len(renewed) < len(rig.ranges) {
+		t.Errorf("%d of %d ranges were renewed within %v", len(renewed), len(rig.ranges), took)
+	}
+}
--- a/internal/control/fpkeeper/load.go
+++ b/internal/control/fpkeeper/load.go
@@ -71,8 +71,8 @@
 	loa.times[upstream] = old + speedShare*(mean.Seconds()-old)
 }
 
-// rate converts a count to requests per second: counts fade, so a steady rate r adds up to r * halfLife / ln 2.
-func rate(count float64) float64 { return count * math.Ln2 / loadHalfLife.Seconds() }
+// perSecond converts a count to requests per second: counts fade, so a steady rate r adds up to r * halfLife / ln 2.
+func perSecond(count float64) float64 { return count * math.Ln2 / loadHalfLife.Seconds() }
 
 // sum returns the count of a range of keys.
 func (loa *Load) sum(first, last uint32) float64 {
--- a/internal/control/fpkeeper/owner_test.go
+++ b/internal/control/fpkeeper/owner_test.go
@@ -337,9 +337,10 @@
 
 // TestOneOwner guards against two upstreams that hold a key at the same time, for orders that are lost, carried out late or
 // left unanswered, slow clocks, restarts, cuts, leaving upstreams and changes of the leader in any order. Seed 28 failed when
-// a range whose bound had passed was given away while a renewal was in flight.
+// a range whose bound had passed was given away while a renewal was in flight, and seed 26 when the confirmed release of a range
+// that was kept counted for its next move.
 func TestOneOwner(t *testing.T) {
-	for seed := range uint64(60) {
+	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			wor := newWorld(t, seed)
--- a/internal/node/fpcontrol/calls.go
+++ b/internal/node/fpcontrol/calls.go
@@ -106,7 +106,7 @@
 func (con *Control) readHere(ctx context.Context) (*fpstate.Configuration, error) {
 	cfg := con.directory.Configuration()
 	// The lease is checked after the read: no other VM can have led before this moment.
-	_, err := con.group.Lead(ctx)
+	_, err := con.lead(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -76,6 +76,7 @@
 	directory *fpdirectory.Directory
 	storage   *fplog.Log
 	group     *fpgroup.Group
+	lead      func(ctx context.Context) (fpgroup.Leadership, error)
 	client    *http.Client
 	orders    *platform.Orders
 	calls     *platform.Control
@@ -149,6 +150,7 @@
 		_ = sto.Close()
 		return nil, err
 	}
+	con.lead = con.group.Lead
 	return con, nil
 }
 
@@ -337,7 +339,7 @@
 
 // leads reports whether this VM leads the group with a valid lease.
 func (con *Control) leads(ctx context.Context) bool {
-	_, err := con.group.Lead(ctx)
+	_, err := con.lead(ctx)
 	return err == nil
 }
 
--- a/internal/node/fpcontrol/control_test.go
+++ b/internal/node/fpcontrol/control_test.go
@@ -27,6 +27,8 @@
 	seeds   []string
 	vms     map[string]*running
 	operate *platform.Announcer
+	// adjust changes a VM before it runs, if it is set.
+	adjust func(con *Control)
 }
 
 // running is a control VM that runs.
@@ -37,7 +39,12 @@
 }
 
 func newCluster(t *testing.T, count int) *cluster {
+	return newAdjustedCluster(t, count, nil)
+}
+
+func newAdjustedCluster(t *testing.T, count int, adjust func(con *Control)) *cluster {
 	clu := &cluster{
+		adjust: adjust,
 		t:      t,
 		folder: t.TempDir(),
 		vms:    map[string]*running{},
@@ -81,6 +88,9 @@
 	if err != nil {
 		clu.t.Fatal(err)
 	}
+	if clu.adjust != nil {
+		clu.adjust(con)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	clu.vms[vm] = &running{
 		control: con,
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -21,6 +21,9 @@
 	releaseTimeout = 3 * time.Second
 	// forgetInterval is the time between looks at silent upstreams.
 	forgetInterval = time.Second
+	// longestLapse is how long orders in flight are continued when the lease of the leader has ended. A leader that follows
+	// allows for calls of its predecessor that arrive up to half a second after its lease.
+	longestLapse = 300 * time.Millisecond
 )
 
 // ended is the end of an order.
@@ -45,63 +48,131 @@
 	}
 }
 
-// keepKeysAsLeader runs for one leadership.
+// keepKeysAsLeader runs for one leadership. While the lease has ended and this VM still leads, it decides and sends nothing, and
+// goes on with what it knows when the lease is back.
 func (con *Control) keepKeysAsLeader(ctx context.Context) {
-	lea, err := con.group.Lead(ctx)
+	lea, err := con.lead(ctx)
 	if err != nil {
 		return
 	}
-	since := time.Now()
-	sta, _ := con.directory.Since(0)
-	kee := fpkeeper.New(since, sta.GetLastFence(), fpkeeper.Config{})
-	con.setKeeper(kee)
-	con.cfg.Log.Info("placement of keys started", zap.Uint64("term", lea.Term), zap.Uint64("lastFence", sta.GetLastFence()))
-	results := make(chan ended, 256)
-	var calls sync.WaitGroup
-	forgot := since
-	life, cancel := context.WithCancel(ctx)
-	defer func() {
-		cancel()
-		con.setKeeper(nil)
-		// Results that nobody reads must not hold up the calls.
-		go func() {
-			calls.Wait()
-			close(results)
-		}()
-		for range results {
-		}
-		con.cfg.Log.Info("placement of keys stopped", zap.Uint64("term", lea.Term))
-	}()
+	pla := con.startPlacement(lea.Term)
+	defer pla.stop()
 	for {
-		now, err := con.group.Lead(ctx)
-		if err != nil || now.Term != lea.Term {
+		now, err := con.lead(ctx)
+		switch {
+		case err == nil && now.Term == lea.Term:
+			pla.resume()
+		case fperror.Is(err, fperror.NoQuorum):
+			pla.suspend()
+		default:
 			return
 		}
 		changed := con.directory.Changed()
-		for _, ord := range con.plan(life, kee, lea.Term) {
-			calls.Go(func() {
-				results <- ended{
-					order:  ord,
-					result: con.execute(life, ord),
-				}
-			})
-		}
-		if time.Since(forgot) > forgetInterval {
-			forgot = time.Now()
-			con.forgetSilent(life, since)
+		if err == nil {
+			pla.next(ctx)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case one := <-results:
-			con.takeEnded(kee, one)
-			con.drainEnded(kee, results)
+		case one := <-pla.results:
+			con.takeEnded(pla.keeper, one)
+			con.drainEnded(pla.keeper, pla.results)
 		case <-changed:
 		case <-time.After(planInterval):
 		}
 	}
 }
 
+// placement is the placement of keys in one term of this VM's leadership.
+type placement struct {
+	con     *Control
+	term    uint64
+	started time.Time
+	keeper  *fpkeeper.Keeper
+	results chan ended
+	calls   sync.WaitGroup
+	// forgot is when silent upstreams were last looked for.
+	forgot time.Time
+	// lapsed is since when the lease has ended, or zero.
+	lapsed time.Time
+	// life is the context of the orders, and cut ends it.
+	life context.Context
+	cut  context.CancelFunc
+}
+
+// startPlacement starts the placement of keys in a term.
+func (con *Control) startPlacement(term uint64) *placement {
+	now := time.Now()
+	sta, _ := con.directory.Since(0)
+	pla := &placement{
+		con:     con,
+		term:    term,
+		started: now,
+		keeper:  fpkeeper.New(now, sta.GetLastFence(), fpkeeper.Config{}),
+		results: make(chan ended, 256),
+		forgot:  now,
+	}
+	pla.life, pla.cut = context.WithCancel(context.Background())
+	con.setKeeper(pla.keeper)
+	con.cfg.Log.Info("placement of keys started", zap.Uint64("term", term), zap.Uint64("lastFence", sta.GetLastFence()))
+	return pla
+}
+
+// stop cuts the orders in flight and waits for their ends.
+func (pla *placement) stop() {
+	pla.cut()
+	pla.con.setKeeper(nil)
+	// Results that nobody reads must not hold up the calls.
+	go func() {
+		pla.calls.Wait()
+		close(pla.results)
+	}()
+	for range pla.results {
+	}
+	pla.con.cfg.Log.Info("placement of keys stopped", zap.Uint64("term", pla.term))
+}
+
+// resume notes that the lease holds.
+func (pla *placement) resume() {
+	if pla.lapsed.IsZero() {
+		return
+	}
+	pla.con.cfg.Log.Info("lease of the leader regained", zap.Uint64("term", pla.term), zap.Duration("lapsed", time.Since(pla.lapsed)))
+	pla.lapsed = time.Time{}
+	if pla.life.Err() != nil {
+		pla.life, pla.cut = context.WithCancel(context.Background())
+	}
+}
+
+// suspend notes that the lease has ended, and cuts the orders in flight when it does not come back soon: another VM may lead.
+func (pla *placement) suspend() {
+	if pla.lapsed.IsZero() {
+		pla.lapsed = time.Now()
+		pla.con.metrics.lapses.Add(1)
+		pla.con.cfg.Log.Info("lease of the leader has ended", zap.Uint64("term", pla.term))
+	}
+	if time.Since(pla.lapsed) > longestLapse {
+		pla.cut()
+	}
+}
+
+// next commits the changes that are due, sends the orders that are, and looks for silent upstreams.
+func (pla *placement) next(ctx context.Context) {
+	life := pla.life
+	for _, ord := range pla.con.plan(ctx, pla.keeper, pla.term) {
+		pla.calls.Go(func() {
+			pla.results <- ended{
+				order:  ord,
+				result: pla.con.execute(life, ord),
+			}
+		})
+	}
+	if time.Since(pla.forgot) > forgetInterval {
+		pla.forgot = time.Now()
+		pla.con.forgetSilent(ctx, pla.started)
+	}
+}
+
 func (con *Control) setKeeper(kee *fpkeeper.Keeper) {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
@@ -180,7 +251,7 @@
 func (con *Control) execute(ctx context.Context, ord fpkeeper.Order) fpkeeper.Result {
 	if !con.leads(ctx) {
 		return fpkeeper.Result{
-			NotSent: true,
+			Withheld: true,
 		}
 	}
 	var res fpkeeper.Result
--- a/internal/node/fpcontrol/metrics.go
+++ b/internal/node/fpcontrol/metrics.go
@@ -13,6 +13,8 @@
 	lostOrders atomic.Int64
 	// lostAnnouncements counts announcements that no leader could store.
 	lostAnnouncements atomic.Int64
+	// lapses counts the times that the lease of this VM ended while it led.
+	lapses atomic.Int64
 }
 
 // WriteMetrics writes all counters as lines of name and value.
@@ -22,6 +24,7 @@
 	fmt.Fprintf(out, "groupElections %d\ngroupStepDowns %d\n", sta.Counters.Elections, sta.Counters.StepDowns)
 	fmt.Fprintf(out, "lostSteps %d\nlostRelays %d\nlostOrders %d\nlostAnnouncements %d\n",
 		con.metrics.lostSteps.Load(), con.metrics.lostRelays.Load(), con.metrics.lostOrders.Load(), con.metrics.lostAnnouncements.Load())
+	fmt.Fprintf(out, "leaseLapses %d\n", con.metrics.lapses.Load())
 	fmt.Fprintf(out, "followers %d\n", con.followers.count())
 }
 
