--- a/internal/control/fpkeeper/balance_test.go
+++ b/internal/control/fpkeeper/balance_test.go
@@ -167,3 +167,73 @@
 		}
 	}
 }
+
+// TestUnequalSpeeds answers the pattern of upstreams of different speeds, each with an equal part of the keys at first. It
+// guards against slow ones that stay too busy for long, and against one upstream with a hot key that keeps them from being
+// relieved, because it has left a grant unanswered and its keys cannot be moved.
+func TestUnequalSpeeds(t *testing.T) {
+	for _, hot := range []float64{0, 300} {
+		const count = 100
+		rig := newRig(t, names(count)...)
+		rig.settle()
+		// Mean use is 0.75. A quarter of the upstreams takes twice as long, and a quarter two thirds as long.
+		factors := []float64{2, 1, 1, 0.667}
+		const work = 330 * time.Millisecond
+		for num, ups := range rig.upstreams {
+			rig.keeper.Load("counters").Answered(ups.GetId(), time.Duration(factors[num%len(factors)]*float64(work)))
+		}
+		const keysEach = 65536 / count
+		rates := map[uint32]float64{}
+		for key := uint32(0); key < MaxKey; key += keysEach / 9 {
+			rates[key] = 1
+		}
+		if hot > 0 {
+			rates[3*keysEach+300] = hot
+			for _, ran := range rig.ranges {
+				if ran.GetUpstream() == rig.owner(3*keysEach+300) {
+					rig.keeper.lease(rig.now, ran).doubt = rig.now.Add(DefaultHold)
+				}
+			}
+		}
+		for range 4 {
+			rig.load(rates)
+		}
+		busy := 0
+		for _, use := range rig.uses() {
+			if use > 1 {
+				busy++
+			}
+		}
+		if most := 2; busy > most {
+			t.Errorf("hot key with %g requests a second: after 4 s %d of %d upstreams have more requests than they can take, want %d at most",
+				hot, busy, count, most)
+		}
+	}
+}
+
+// TestRangesStayFew answers the pattern of busy keys that change every few seconds. It guards against moves that leave ever more
+// ranges behind, each of which is renewed by calls of its own, until the leader does nothing else.
+func TestRangesStayFew(t *testing.T) {
+	const count = 40
+	rig := newRig(t, names(count)...)
+	rig.settle()
+	for turn := range uint32(8) {
+		rates := map[uint32]float64{}
+		for key := uint32(0); key < MaxKey; key += 256 {
+			rates[key] = 1
+		}
+		for key := range uint32(200) {
+			rates[(turn*7919+key)%MaxKey] = 4
+		}
+		for range 4 {
+			rig.load(rates)
+		}
+	}
+	rest := map[uint32]float64{}
+	for range 12 {
+		rig.load(rest)
+	}
+	if most := 3 * count; len(rig.ranges) > most {
+		t.Errorf("%d ranges of %d upstreams, want %d at most", len(rig.ranges), count, most)
+	}
+}
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -51,6 +51,10 @@
 	maxRefused = 1
 	// maxUnanswered is how many grants without an answer are sent to an upstream that gives no other sign of life.
 	maxUnanswered = 2
+	// firstShun and mostShun bound how long an upstream is given no keys after it has lost some because it answered no
+	// grants. The first is a hold time, which is how long the keys of the next try are without an owner if it fails, too.
+	firstShun = DefaultHold
+	mostShun  = 4 * DefaultHold
 	// longestDoubt is how long a move waits for a doubt to pass rather than being given up.
 	longestDoubt = 500 * time.Millisecond
 	// settleTime is how long the first partition waits for further upstreams after the first one has announced itself,
@@ -89,18 +93,38 @@
 	// Withheld states that the leader could not be sure to lead, so that it did not send the order. It says nothing of the
 	// upstream.
 	Withheld bool
+	// Doubtful states that an earlier try of the order got no answer, so that it may take effect again later.
+	Doubtful bool
 	// Handover is what the upstream returned for the next holder.
 	Handover string
 }
 
-// Change is a change of ranges that has to be committed.
+// Change is a change of ranges of one service that has to be committed as a whole, in its order. The zero value changes
+// nothing.
 type Change struct {
-	Service string
-	Ranges  []*fpstate.Range
+	steps []Step
+}
+
+// Step is the change of one range.
+type Step struct {
+	Range *fpstate.Range
 	// Reason is for the log.
 	Reason string
 }
 
+// Steps returns the changes of single ranges.
+func (cha *Change) Steps() []Step { return cha.steps }
+
+// add appends ranges that change for one reason.
+func (cha *Change) add(reason string, ranges []*fpstate.Range) {
+	for _, ran := range ranges {
+		cha.steps = append(cha.steps, Step{
+			Range:  ran,
+			Reason: reason,
+		})
+	}
+}
+
 // View is the replicated state of one service.
 type View struct {
 	Service   string
@@ -168,7 +192,21 @@
 	first    map[string]time.Time
 	loads    map[string]*Load
 	looked   map[string]time.Time // when the load of a service was last looked at for moves
+	merges   map[string]time.Time // when the ranges of a service were last looked at for merges
 	paces    map[string]*rate.Limiter
+	shunned  map[life]*shun
+}
+
+// life identifies one life of an upstream.
+type life struct {
+	id   string
+	born uint64
+}
+
+// shun is how long an upstream is given no keys that has lost some because it answered no grants.
+type shun struct {
+	until time.Time
+	next  time.Duration
 }
 
 // New returns the keeper of a leadership that starts now. No fence above lastFence has been granted before.
@@ -189,7 +227,9 @@
 		first:    map[string]time.Time{},
 		loads:    map[string]*Load{},
 		looked:   map[string]time.Time{},
+		merges:   map[string]time.Time{},
 		paces:    map[string]*rate.Limiter{},
+		shunned:  map[life]*shun{},
 	}
 }
 
@@ -198,8 +238,9 @@
 	return end.Add(kee.cfg.Hold + kee.cfg.Hold*driftPercent/100 + arrivalSlack)
 }
 
-// lease returns the record of a fence.
-func (kee *Keeper) lease(now time.Time, fence uint64) *lease {
+// lease returns the record of the fence of a range.
+func (kee *Keeper) lease(now time.Time, ran *fpstate.Range) *lease {
+	fence := ran.GetFence()
 	lea := kee.leases[fence]
 	if lea != nil {
 		return lea
@@ -207,6 +248,10 @@
 	lea = &lease{
 		bound: kee.holdEnd(now),
 	}
+	if ran.GetPhase() == fpstate.Phase_PHASE_SERVING {
+		// The holder has its keys from the ranges that this one was merged from.
+		lea.sent = true
+	}
 	if fence <= kee.oldFence {
 		lea.bound = kee.holdEnd(kee.start)
 		lea.doubt = lea.bound
@@ -247,12 +292,12 @@
 }
 
 func (kee *Keeper) grantEnded(now time.Time, ord Order, res Result, tas *task) {
-	lea := kee.lease(now, ord.Range.GetFence())
+	lea := kee.lease(now, ord.Range)
 	lea.grants--
 	if !res.Fenced && !res.NotSent && !res.Withheld {
 		lea.sent = true
 		lea.bound = later(lea.bound, kee.holdEnd(now))
-		if !res.Answered {
+		if !res.Answered || res.Doubtful {
 			lea.doubt = later(lea.doubt, kee.holdEnd(now))
 		}
 	}
@@ -301,10 +346,12 @@
 	}
 }
 
-// Plan returns the orders that are due and the changes that have to be committed before the next call.
-func (kee *Keeper) Plan(now time.Time, vie View) ([]Order, []Change) {
+// Plan returns the orders that are due and the change that has to be committed before the next call.
+func (kee *Keeper) Plan(now time.Time, vie View) ([]Order, Change) {
+	var cha Change
 	if len(vie.Ranges) == 0 {
-		return nil, kee.partition(now, vie)
+		cha.add("first partition", kee.partition(now, vie))
+		return nil, cha
 	}
 	var orders []Order
 	var renewals []grant
@@ -319,8 +366,9 @@
 			kept = append(kept, withPhase(ran, fpstate.Phase_PHASE_GRANTING))
 		case ran.GetPhase() == fpstate.Phase_PHASE_RELEASING:
 			orders, taken = kee.releasing(now, vie, ran, tas, holder, orders, taken)
-		case kee.lease(now, ran.GetFence()).over(now) || tas.refused > maxRefused && !kee.lease(now, ran.GetFence()).sent:
+		case kee.lease(now, ran).over(now) || tas.refused > maxRefused && !kee.lease(now, ran).sent:
 			if !staysPut(vie, ran, holder) {
+				kee.shun(now, ran)
 				taken = append(taken, kee.assign(now, vie, ran, "")...)
 			}
 		case holder.GetLeaving() || holder.GetGone():
@@ -339,14 +387,47 @@
 		}
 	}
 	orders = kee.paced(now, vie, renewals, orders)
-	var changes []Change
-	changes = appendChange(changes, vie.Service, granted, "granted")
-	changes = appendChange(changes, vie.Service, moving, "leaving")
-	changes = appendChange(changes, vie.Service, taken, "assigned")
-	changes = appendChange(changes, vie.Service, kept, "kept")
-	// Moves touch only served ranges of upstreams whose ranges are all served, so they do not meet the changes above.
-	changes = appendChange(changes, vie.Service, kee.rebalance(now, vie), "balance")
-	return orders, changes
+	cha.add("granted", granted)
+	cha.add("leaving", moving)
+	cha.add("assigned", taken)
+	cha.add("kept", kept)
+	// Moves touch only ranges that are served and stay so, so they do not meet the changes above.
+	moves := kee.rebalance(now, vie)
+	cha.add("balance", moves)
+	cha.add("merged", kee.merged(now, vie, moves))
+	return orders, cha
+}
+
+// shun gives an upstream no keys for some time, longer each time that it loses keys.
+func (kee *Keeper) shun(now time.Time, ran *fpstate.Range) {
+	lif := life{
+		id:   ran.GetUpstream(),
+		born: ran.GetBorn(),
+	}
+	shu := kee.shunned[lif]
+	if shu == nil {
+		shu = &shun{
+			next: firstShun,
+		}
+		kee.shunned[lif] = shu
+	}
+	if now.Before(shu.until) {
+		return // it has lost several ranges together
+	}
+	shu.until = now.Add(shu.next)
+	shu.next = min(mostShun, 2*shu.next)
+}
+
+// takesKeys reports whether an upstream may be given keys.
+func (kee *Keeper) takesKeys(now time.Time, sta *standing) bool {
+	if sta.ups.GetLeaving() || kee.silent(now, sta) {
+		return false
+	}
+	shu := kee.shunned[life{
+		id:   sta.ups.GetId(),
+		born: sta.ups.GetBorn(),
+	}]
+	return shu == nil || !now.Before(shu.until)
 }
 
 // staysPut reports whether a range whose holder is silent stays where it is because there is no other upstream.
@@ -359,17 +440,6 @@
 	return true
 }
 
-func appendChange(changes []Change, service string, ranges []*fpstate.Range, reason string) []Change {
-	if len(ranges) == 0 {
-		return changes
-	}
-	return append(changes, Change{
-		Service: service,
-		Ranges:  ranges,
-		Reason:  reason,
-	})
-}
-
 func withPhase(ran *fpstate.Range, phase fpstate.Phase) *fpstate.Range {
 	next := proto.CloneOf(ran)
 	next.Phase = phase
@@ -452,7 +522,7 @@
 	}
 	tas.inFlight = true
 	if act == Grant {
-		kee.lease(now, ran.GetFence()).grants++
+		kee.lease(now, ran).grants++
 	}
 	return append(orders, Order{
 		Service:  service,
@@ -469,12 +539,12 @@
 	if holder.GetLeaving() || holder.GetGone() {
 		return false
 	}
-	return kee.lease(now, ran.GetFence()).doubt.Sub(now) > longestDoubt
+	return kee.lease(now, ran).doubt.Sub(now) > longestDoubt
 }
 
 // releasing continues the release of a range.
 func (kee *Keeper) releasing(now time.Time, vie View, ran *fpstate.Range, tas *task, holder *fpstate.Upstream, orders []Order, taken []*fpstate.Range) ([]Order, []*fpstate.Range) {
-	lea := kee.lease(now, ran.GetFence())
+	lea := kee.lease(now, ran)
 	if tas.confirmed && now.After(lea.doubt) || lea.over(now) {
 		return orders, append(taken, kee.assign(now, vie, ran, tas.handover)...)
 	}
--- a/internal/control/fpkeeper/keeper_test.go
+++ b/internal/control/fpkeeper/keeper_test.go
@@ -58,21 +58,19 @@
 
 // plan commits the changes and returns the orders.
 func (rig *rig) plan() []Order {
-	orders, changes := rig.keeper.Plan(rig.now, View{
+	orders, cha := rig.keeper.Plan(rig.now, View{
 		Service:   "counters",
 		Ranges:    rig.ranges,
 		Upstreams: rig.upstreams,
 		Lookup:    rig.lookup,
 		AtAddress: rig.atAddress,
 	})
-	for _, cha := range changes {
-		for _, ran := range cha.Ranges {
-			if ran.GetFence() == 0 {
-				rig.fence++
-				ran.Fence = rig.fence
-			}
-			rig.ranges = fpdirectory.Replace(rig.ranges, ran)
+	for _, ste := range cha.Steps() {
+		if ste.Range.GetFence() == 0 {
+			rig.fence++
+			ste.Range.Fence = rig.fence
 		}
+		rig.ranges = fpdirectory.Replace(rig.ranges, ste.Range)
 	}
 	return orders
 }
--- a/internal/control/fpkeeper/owner_test.go
+++ b/internal/control/fpkeeper/owner_test.go
@@ -132,15 +132,13 @@
 	wor.now = wor.now.Add(worldStep)
 	wor.deliver()
 	wor.disturb()
-	orders, changes := wor.keeper.Plan(wor.now, wor.view())
-	for _, cha := range changes {
-		for _, ran := range cha.Ranges {
-			if ran.GetFence() == 0 {
-				wor.fence++
-				ran.Fence = wor.fence
-			}
-			wor.ranges = fpdirectory.Replace(wor.ranges, ran)
+	orders, cha := wor.keeper.Plan(wor.now, wor.view())
+	for _, ste := range cha.Steps() {
+		if ste.Range.GetFence() == 0 {
+			wor.fence++
+			ste.Range.Fence = wor.fence
 		}
+		wor.ranges = fpdirectory.Replace(wor.ranges, ste.Range)
 	}
 	for _, ord := range orders {
 		wor.send(ord)
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -78,7 +78,7 @@
 	group     *fpgroup.Group
 	lead      func(ctx context.Context) (fpgroup.Leadership, error)
 	client    *http.Client
-	orders    *platform.Orders
+	orders    *orders
 	calls     *platform.Control
 	service   *service
 	followers *followers
@@ -102,9 +102,7 @@
 		cfg:       cfg,
 		directory: fpdirectory.New(),
 		client:    newClient(),
-		orders: &platform.Orders{
-			Client: newOrderClient(),
-		},
+		orders:    newOrders(),
 		followers: newFollowers(),
 		beats:     newBeats(),
 		seeds:     cfg.Seeds,
@@ -183,26 +181,6 @@
 	}
 }
 
-// newOrderClient returns the client of orders to upstreams. Each order has its own connection, because a client with kept
-// connections may send an order again by itself when one breaks. Closing it discards bytes that were not delivered yet.
-func newOrderClient() *http.Client {
-	dia := net.Dialer{
-		Timeout: dialTimeout,
-	}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				con, err := dia.DialContext(ctx, network, address)
-				if tcp, ok := con.(*net.TCPConn); ok {
-					err = tcp.SetLinger(0)
-				}
-				return con, err
-			},
-			DisableKeepAlives: true,
-		},
-	}
-}
-
 // Run serves until ctx ends and reports its end on done.
 func (con *Control) Run(ctx context.Context) (done <-chan error) {
 	result := make(chan error, 1)
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -15,10 +15,6 @@
 const (
 	// planInterval is the time between looks at the ranges when nothing has changed.
 	planInterval = 200 * time.Millisecond
-	// grantTimeout bounds the call for a grant.
-	grantTimeout = 1200 * time.Millisecond
-	// releaseTimeout bounds the call for a release, which is answered when the work on the keys has ended.
-	releaseTimeout = 3 * time.Second
 	// forgetInterval is the time between looks at silent upstreams.
 	forgetInterval = time.Second
 	// longestLapse is how long orders in flight are continued when the lease of the leader has ended. A leader that follows
@@ -204,7 +200,7 @@
 			continue
 		}
 		con.mutex.Lock()
-		some, changes := kee.Plan(time.Now(), fpkeeper.View{
+		some, cha := kee.Plan(time.Now(), fpkeeper.View{
 			Service:   ser.GetName(),
 			Ranges:    con.directory.Ranges(ser.GetName()),
 			Upstreams: con.directory.Upstreams(ser.GetName()),
@@ -217,63 +213,35 @@
 		})
 		con.mutex.Unlock()
 		orders = append(orders, some...)
-		for _, cha := range changes {
-			con.commitChange(ctx, cha, term)
+		if len(cha.Steps()) > 0 {
+			con.commitChange(ctx, ser.GetName(), cha.Steps(), term)
 		}
 	}
 	return orders
 }
 
-// commitChange commits a change of ranges in the term of the leadership that has decided it. It is not passed on to another
+// commitChange commits a change of ranges as one entry in the term of the leadership that has decided it. It is not passed on to another
 // leader. If it fails, the next plan decides anew.
-func (con *Control) commitChange(ctx context.Context, cha fpkeeper.Change, term uint64) {
+func (con *Control) commitChange(ctx context.Context, service string, steps []fpkeeper.Step, term uint64) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	ranges := make([]*fpstate.Range, len(cha.Ranges))
-	copy(ranges, cha.Ranges)
+	cha := &fpstate.RangeChange{
+		Service: service,
+		Term:    term,
+	}
+	for _, ste := range steps {
+		cha.Ranges = append(cha.Ranges, ste.Range)
+	}
 	err := con.proposeHere(call, &fpstate.Command{
 		Body: &fpstate.Command_Change{
-			Change: &fpstate.RangeChange{
-				Service: cha.Service,
-				Ranges:  ranges,
-				Term:    term,
-			},
+			Change: cha,
 		},
 	})
-	for _, ran := range cha.Ranges {
-		con.cfg.Log.Info("range changed", zap.String("service", cha.Service), zap.String("reason", cha.Reason),
-			zap.Uint32("first", ran.GetFirst()), zap.Uint32("last", ran.GetLast()), zap.String("upstream", ran.GetUpstream()),
-			zap.Stringer("phase", ran.GetPhase()), zap.Error(err))
-	}
-}
-
-// execute sends an order to its upstream.
-func (con *Control) execute(ctx context.Context, ord fpkeeper.Order) fpkeeper.Result {
-	if !con.leads(ctx) {
-		return fpkeeper.Result{
-			Withheld: true,
-		}
-	}
-	var res fpkeeper.Result
-	var err error
-	if ord.Action == fpkeeper.Grant {
-		call, cancel := context.WithTimeout(ctx, grantTimeout)
-		defer cancel()
-		err = con.orders.Grant(call, ord.Upstream, ord.Range, ord.Hold)
-	} else {
-		call, cancel := context.WithTimeout(ctx, releaseTimeout)
-		defer cancel()
-		res.Handover, err = con.orders.Release(call, ord.Upstream, ord.Range)
-	}
-	res.Answered = err == nil
-	res.Fenced = fperror.Is(err, fperror.UpstreamFenced)
-	res.NotSent = fperror.Is(err, fperror.ConnectFailed)
-	if err != nil {
-		con.metrics.lostOrders.Add(1)
-		con.cfg.Log.Info("order failed", zap.String("upstream", ord.Upstream.GetId()), zap.Uint8("action", uint8(ord.Action)),
-			zap.Uint32("first", ord.Range.GetFirst()), zap.Uint64("fence", ord.Range.GetFence()), zap.Error(err))
+	for _, ste := range steps {
+		con.cfg.Log.Info("range changed", zap.String("service", service), zap.String("reason", ste.Reason),
+			zap.Uint32("first", ste.Range.GetFirst()), zap.Uint32("last", ste.Range.GetLast()), zap.String("upstream", ste.Range.GetUpstream()),
+			zap.Stringer("phase", ste.Range.GetPhase()), zap.Error(err))
 	}
-	return res
 }
 
 // takeReport adds the load that an entry VM has counted.
--- /dev/null
+++ b/internal/node/fpcontrol/orders_test.go
@@ -0,0 +1,100 @@
+package fpcontrol
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+)
+
+// orderedUpstream is an upstream that counts its connections.
+type orderedUpstream struct {
+	server  *httptest.Server
+	opened  atomic.Int64
+	answers atomic.Int64
+	// silent breaks off the connection of each call that is not the first on it.
+	silent atomic.Bool
+}
+
+func newOrderedUpstream(t *testing.T) *orderedUpstream {
+	ups := &orderedUpstream{}
+	ups.server = httptest.NewUnstartedServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		if ups.silent.CompareAndSwap(true, false) {
+			panic(http.ErrAbortHandler)
+		}
+		ups.answers.Add(1)
+		wri.WriteHeader(http.StatusOK)
+	}))
+	ups.server.Config.ConnState = func(_ net.Conn, sta http.ConnState) {
+		if sta == http.StateNew {
+			ups.opened.Add(1)
+		}
+	}
+	ups.server.Start()
+	t.Cleanup(ups.server.Close)
+	return ups
+}
+
+func (ups *orderedUpstream) order() fpkeeper.Order {
+	return fpkeeper.Order{
+		Service: "s",
+		Action:  fpkeeper.Grant,
+		Upstream: &fpstate.Upstream{
+			Id:      "one",
+			Address: strings.TrimPrefix(ups.server.URL, "http://"),
+		},
+		Range: &fpstate.Range{
+			Last:  10,
+			Fence: 1,
+		},
+		Hold: time.Second,
+	}
+}
+
+// TestKeptConnections guards against renewals that need a new connection each: an upstream with a long queue resets those or
+// lets them wait, and then loses its keys.
+func TestKeptConnections(t *testing.T) {
+	ups := newOrderedUpstream(t)
+	ors := newOrders()
+	for range 5 {
+		if res, err := ors.send(t.Context(), ups.order()); err != nil || !res.Answered || res.Doubtful {
+			t.Fatalf("got %+v, %v", res, err)
+		}
+	}
+	if got := ups.opened.Load(); got != 1 {
+		t.Errorf("%d connections for 5 renewals, want 1", got)
+	}
+}
+
+// TestDroppedIdleConnection guards against keys that lapse at an upstream that drops idle connections, and against a second
+// owner: the call on the broken connection may take effect later.
+func TestDroppedIdleConnection(t *testing.T) {
+	ups := newOrderedUpstream(t)
+	ors := newOrders()
+	if _, err := ors.send(t.Context(), ups.order()); err != nil {
+		t.Fatal(err)
+	}
+	ups.silent.Store(true)
+	res, err := ors.send(t.Context(), ups.order())
+	if err != nil || !res.Answered {
+		t.Fatalf("the order was not sent again: %+v, %v", res, err)
+	}
+	if !res.Doubtful {
+		t.Error("the first try, which got no answer, is forgotten")
+	}
+	before := ups.opened.Load()
+	for range 3 {
+		if res, err := ors.send(t.Context(), ups.order()); err != nil || res.Doubtful {
+			t.Fatalf("got %+v, %v", res, err)
+		}
+	}
+	if got := ups.opened.Load() - before; got != 3 {
+		t.Errorf("%d new connections for 3 orders after a kept one broke, want 3", got)
+	}
+}
