fpcontrol, fpgroup: an odd number of voters; further control VMs follow the log without a vote

Change: 2 x losses + 1 VMs vote. A VM without a vote that hears of no leader for an election time names none.

--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -15,6 +15,7 @@
 	addVoter changeKind = iota
 	removeVoter
 	repairVoter
+	addLearner
 )
 
 // change is the one membership change that runs. Its progress follows from the membership and from what the peers have
@@ -69,6 +70,8 @@
 	switch {
 	case cha.kind == removeVoter:
 		cor.advanceRemoval(one)
+	case one != nil && cha.kind == addLearner:
+		cor.finishChange(nil)
 	case one == nil && cha.kind == repairVoter:
 		cor.finishChange(fperror.New(fperror.InvalidRequest, "VM %s is not a member of group %s", cha.vm, cor.cfg.Name))
 	case one == nil:
--- a/internal/control/fpgroup/core.go
+++ b/internal/control/fpgroup/core.go
@@ -160,7 +160,10 @@
 	cor.resetElection()
 	if cor.mayStand() {
 		cor.askPreVotes()
+		return
 	}
+	// A learner that is cut off must not name a leader forever.
+	cor.becomeFollower(cor.hard.Term)
 }
 
 // step handles one message.
--- a/internal/control/fpgroup/group.go
+++ b/internal/control/fpgroup/group.go
@@ -240,6 +240,12 @@
 	return gro.change(ctx, addVoter, vm)
 }
 
+// AddLearner adds a VM that follows the log without a vote, unless it is a member already. It returns nil once that is
+// committed. AddVoter gives a learner a vote.
+func (gro *Group) AddLearner(ctx context.Context, vm string) error {
+	return gro.change(ctx, addLearner, vm)
+}
+
 // RemoveVoter removes a VM from the group. A leader that is removed steps down.
 func (gro *Group) RemoveVoter(ctx context.Context, vm string) error {
 	return gro.change(ctx, removeVoter, vm)
--- a/internal/control/fpgroup/rules_test.go
+++ b/internal/control/fpgroup/rules_test.go
@@ -679,3 +679,49 @@
 		}
 	})
 }
+
+// TestLearner guards against a VM without a vote that does not follow the log, that counts for a quorum, or that names a leader of
+// which it has not heard for long.
+func TestLearner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wor := newWorld(t, 1, 3)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		lea := wor.add("vm-3")
+		lea.start()
+		led := wor.leader()
+		for range 2 {
+			if err := led.group().AddLearner(ctx, "vm-3"); err != nil {
+				t.Errorf("%+v", err)
+			}
+		}
+		if err := wor.propose(led, 0, "first"); err != nil {
+			t.Errorf("%+v", err)
+		}
+		time.Sleep(time.Second)
+		sta := lea.group().Status()
+		if sta.Applied.Index != led.group().Status().Applied.Index || sta.Leader != led.name {
+			t.Errorf("the learner follows %q and has applied %v, the leader %v", sta.Leader, sta.Applied, led.group().Status().Applied)
+		}
+		wor.isolate("vm-3", true)
+		time.Sleep(time.Minute)
+		if sta := lea.group().Status(); sta.Leader != "" || sta.Role != Follower {
+			t.Errorf("a learner that is cut off is %v and names leader %q", sta.Role, sta.Leader)
+		}
+		wor.isolate("vm-3", false)
+		// With the learner, two of four VMs remain, and one of three votes.
+		for _, name := range wor.names {
+			if name != led.name && name != "vm-3" {
+				wor.isolate(name, true)
+			}
+		}
+		if err := wor.propose(led, 0, "second"); err == nil {
+			t.Error("a command was committed with the vote of a learner")
+		}
+		wor.heal()
+		wor.stopAll()
+		for _, text := range wor.problems {
+			t.Error(text)
+		}
+	})
+}
--- a/internal/node/fpcontrol/calls.go
+++ b/internal/node/fpcontrol/calls.go
@@ -61,7 +61,7 @@
 			voters++
 		}
 	}
-	if con.leads(ctx) && voters < 2*con.cfg.Losses+1 {
+	if con.leads(ctx) && voters < con.wantedVoters() {
 		return fperror.New(fperror.NoQuorum, "%d voters cannot bear the loss of %d", voters, con.cfg.Losses)
 	}
 	_, _, err := con.group.Propose(ctx, command)
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -23,18 +23,20 @@
 	removeAfter = 8 * time.Second
 	// changeTimeout bounds one change of the membership; the next look continues it.
 	changeTimeout = 4 * time.Second
-	// maxVoters bounds the voters when there are more control VMs than the promised losses need: each entry goes to all of
+	// spareAfter is the silence of a voter after which a learner gets a vote in its place.
+	spareAfter = 4 * time.Second
+	// maxMembers bounds the members when there are more control VMs than the promised losses need: each entry goes to all of
 	// them. The others wait until one is lost.
-	maxVoters = 7
+	maxMembers = 7
 	// joinAge is how long a request to join counts.
 	joinAge = 2 * time.Second
 )
 
-// join asks to become a voter until this VM is one.
+// join asks to become a member until this VM is one.
 func (con *Control) join(ctx context.Context) {
 	for sleep(ctx, joinInterval) {
 		sta := con.group.Status()
-		if isVoter(sta, con.cfg.VM) && sta.Leader != "" {
+		if isMember(sta, con.cfg.VM) && sta.Leader != "" {
 			continue
 		}
 		for _, vm := range con.others(sta) {
@@ -50,10 +52,14 @@
 	}
 }
 
-func isVoter(sta fpgroup.Status, vm string) bool {
-	return slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm && !mst.Learner })
+func isMember(sta fpgroup.Status, vm string) bool {
+	return slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm })
 }
 
+// wantedVoters returns the number of voters that bear the promised losses. It is odd, so that a cut in two leaves one half with a
+// quorum, and a commit waits for no more VMs than needed. Further control VMs are learners.
+func (con *Control) wantedVoters() int { return 2*con.cfg.Losses + 1 }
+
 // others returns the control VMs that this one knows, the leader first.
 func (con *Control) others(sta fpgroup.Status) []string {
 	var all []string
@@ -94,17 +100,21 @@
 // nextChange returns the change of the membership that is due first.
 func (con *Control) nextChange() (string, string, func(context.Context, string) error) {
 	sta := con.group.Status()
+	live := con.liveVoters(sta, spareAfter)
 	for _, mst := range sta.Members {
 		lost := mst.Incarnation != 0 && mst.Heard != 0 && mst.Heard != mst.Incarnation
 		if lost && !mst.Learner {
 			return "repair", mst.VM, con.group.Repair
 		}
-		if mst.Learner && !con.silent(mst.VM, silentAfter) {
-			return "finish", mst.VM, con.group.AddVoter
+		if mst.Learner && live < con.wantedVoters() && !con.silent(mst.VM, silentAfter) {
+			return "vote", mst.VM, con.group.AddVoter
 		}
 	}
 	if vm := con.joiner(sta); vm != "" {
-		return "add", vm, con.group.AddVoter
+		if live < con.wantedVoters() {
+			return "add", vm, con.group.AddVoter
+		}
+		return "follow", vm, con.group.AddLearner
 	}
 	if vm := con.removable(sta); vm != "" {
 		return "remove", vm, con.group.RemoveVoter
@@ -112,7 +122,18 @@
 	return "", "", nil
 }
 
-// joiner returns a VM that asked to join and is no member, unless the group has enough voters.
+// liveVoters returns the number of voters that have taken a message within a time.
+func (con *Control) liveVoters(sta fpgroup.Status, within time.Duration) int {
+	live := 0
+	for _, mst := range sta.Members {
+		if !mst.Learner && (mst.VM == con.cfg.VM || !con.silent(mst.VM, within)) {
+			live++
+		}
+	}
+	return live
+}
+
+// joiner returns a VM that asked to join and is no member, unless the group has enough members.
 func (con *Control) joiner(sta fpgroup.Status) string {
 	live := 0
 	for _, mst := range sta.Members {
@@ -120,7 +141,7 @@
 			live++
 		}
 	}
-	if live >= max(maxVoters, 2*con.cfg.Losses+1) {
+	if live >= max(maxMembers, con.wantedVoters()) {
 		return ""
 	}
 	con.mutex.Lock()
@@ -130,29 +151,22 @@
 			delete(con.joins, vm)
 			continue
 		}
-		if !slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm }) {
+		if !isMember(sta, vm) {
 			return vm
 		}
 	}
 	return ""
 }
 
-// removable returns a member that has been silent for long while enough voters for the promised losses remain.
+// removable returns a member that has been silent for long, if it is a learner or enough voters for the promised losses remain.
 func (con *Control) removable(sta fpgroup.Status) string {
-	found := ""
-	live := 0
 	for _, mst := range sta.Members {
-		switch {
-		case mst.VM != con.cfg.VM && con.silent(mst.VM, removeAfter):
-			found = mst.VM
-		case mst.VM == con.cfg.VM || !con.silent(mst.VM, silentAfter):
-			live++
+		spare := mst.Learner || con.liveVoters(sta, silentAfter) >= con.wantedVoters()
+		if spare && mst.VM != con.cfg.VM && con.silent(mst.VM, removeAfter) {
+			return mst.VM
 		}
 	}
-	if live < 2*con.cfg.Losses+1 || live < len(sta.Members)-1 {
-		return ""
-	}
-	return found
+	return ""
 }
 
 // silent reports whether a control VM has taken no message for some time.
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -106,9 +105,7 @@
 		con.mutex.Lock()
 		con.joins[req.Msg.GetVm()] = time.Now()
 		con.mutex.Unlock()
-		res.Member = slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool {
-			return mst.VM == req.Msg.GetVm() && !mst.Learner
-		})
+		res.Member = isMember(sta, req.Msg.GetVm())
 	}
 	return connect.NewResponse(res), nil
 }
