fpkeeper: end doubts by another fence, and wait for all upstreams before the first partition

The first partition was made among less than half of the upstreams, and the others got single keys, because keys without load fitted a wanted rate of 0. Ruled out: clearing the doubt with any answer under the new fence (TestOneOwner fails: the first grant under it may be late, too). Change: a range in doubt gets another fence at its holder, by a commit; an answer to a grant under it ends the doubt about lower fences. The first partition waits until no upstream has joined for 1.2 s, 5 s at most. Grants are paced at 1.5 times the steady rate and two at a time for each upstream.

--- a/internal/control/fpkeeper/balance.go
+++ b/internal/control/fpkeeper/balance.go
@@ -17,6 +17,12 @@
 	defaultTime = 0.1
 )
 
+// firstPartition is what is known of the upstreams of a service that has no ranges yet.
+type firstPartition struct {
+	since, changed time.Time
+	upstreams      int
+}
+
 // partition gives all keys to the upstreams of a service that has had none.
 func (kee *Keeper) partition(now time.Time, vie View) []*fpstate.Range {
 	var able []*fpstate.Upstream
@@ -30,12 +36,18 @@
 	if len(able) == 0 {
 		return nil
 	}
-	since, ok := kee.first[vie.Service]
-	if !ok {
-		kee.first[vie.Service] = now
-		return nil
+	fir := kee.first[vie.Service]
+	if fir == nil {
+		fir = &firstPartition{
+			since: now,
+		}
+		kee.first[vie.Service] = fir
+	}
+	if len(able) != fir.upstreams {
+		fir.upstreams = len(able)
+		fir.changed = now
 	}
-	if now.Sub(since) < settleTime {
+	if now.Sub(fir.changed) < settleTime && now.Sub(fir.since) < mostSettleTime {
 		return nil
 	}
 	var ranges []*fpstate.Range
--- a/internal/control/fpkeeper/balance_test.go
+++ b/internal/control/fpkeeper/balance_test.go
@@ -237,3 +237,19 @@
 		t.Errorf("%d ranges of %d upstreams, want %d at most", len(rig.ranges), count, most)
 	}
 }
+
+// TestFirstPartition answers the pattern of upstreams that announce themselves one after the other when a deployment starts. It
+// guards against a first partition among a few of them, after which all others have to be given keys by moves.
+func TestFirstPartition(t *testing.T) {
+	all := names(60)
+	rig := newRig(t)
+	for _, name := range all {
+		rig.upstreams = append(rig.upstreams, newRig(t, name).upstreams...)
+		rig.now = rig.now.Add(50 * time.Millisecond)
+		rig.plan()
+	}
+	rig.settle()
+	if len(rig.ranges) != len(all) {
+		t.Errorf("%d ranges for %d upstreams", len(rig.ranges), len(all))
+	}
+}
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -11,12 +11,13 @@
 //
 //   - the bound of a fence is the latest moment until which the holder may hold its keys: hold time, drift and slack after
 //     the end of the last call;
-//   - its doubt is the same for the last call without an answer.
+//   - its doubt is the same for the last call without an answer. A range in doubt gets another fence at its holder, and the doubt
+//     ends when a grant under it is answered, because the holder then refuses lower fences.
 //
 // A range may go to another upstream after its bound has passed, after a release was answered and its doubt has passed, or
 // when a later life of the holder is known, because a new life holds nothing. Every grant follows the commit of its range.
 // A leader that takes over knows nothing of the calls of the one before, whose lease has ended by then, so all bounds and
-// doubts start anew at that moment.
+// doubts start anew at that moment, and all ranges get another fence.
 package fpkeeper
 
 import (
@@ -45,8 +46,10 @@
 	// paceFactor bounds the grants a second as a multiple of the steady rate of renewals, and paceBurst those at once. When
 	// the renewals of all ranges are due together, as after a change of the leader, the calls would otherwise keep the
 	// leader from confirming its lease.
-	paceFactor = 2
+	paceFactor = 1.5
 	paceBurst  = 32
+	// maxGrants is the number of grants in flight to one upstream, which share its kept connections.
+	maxGrants = 2
 	// maxRefused is how often a connection for the first grant of a range may fail before another upstream is chosen.
 	maxRefused = 1
 	// maxUnanswered is how many grants without an answer are sent to an upstream that gives no other sign of life.
@@ -57,9 +60,11 @@
 	mostShun  = 4 * DefaultHold
 	// longestDoubt is how long a move waits for a doubt to pass rather than being given up.
 	longestDoubt = 500 * time.Millisecond
-	// settleTime is how long the first partition waits for further upstreams after the first one has announced itself,
-	// so that it need not be changed at once. Upstreams announce themselves within one interval of their announcements.
-	settleTime = 1200 * time.Millisecond
+	// settleTime is how long the first partition waits after the last upstream has announced itself, so that all of them get
+	// their part of the keys and it need not be changed at once. Upstreams announce themselves within one interval of their
+	// announcements. mostSettleTime bounds the wait.
+	settleTime     = 1200 * time.Millisecond
+	mostSettleTime = 5 * time.Second
 	// MaxKey is the highest key.
 	MaxKey = 65535
 )
@@ -144,11 +149,17 @@
 	doubt time.Time
 	// sent states that a grant may have reached the holder.
 	sent bool
+	// inherited is the doubt about calls under earlier fences, of ranges that this one replaces at their holder. It ends with
+	// the first answer to a grant, because the holder then refuses lower fences.
+	inherited time.Time
 	// grants is the number of grants in flight. A release waits for them, because a renewal of a range that was split
 	// since would give the released part back.
 	grants int
 }
 
+// doubtEnd returns until when a call that got no answer may take effect.
+func (lea *lease) doubtEnd() time.Time { return later(lea.doubt, lea.inherited) }
+
 // over reports whether the holder can hold nothing any more. A grant in flight may still arrive.
 func (lea *lease) over(now time.Time) bool { return lea.grants == 0 && now.After(lea.bound) }
 
@@ -189,11 +200,12 @@
 	leases   map[uint64]*lease
 	tasks    map[place]*task
 	targets  map[place]string
-	first    map[string]time.Time
+	first    map[string]*firstPartition
 	loads    map[string]*Load
 	looked   map[string]time.Time // when the load of a service was last looked at for moves
-	merges   map[string]time.Time // when the ranges of a service were last looked at for merges
+	refences map[string]time.Time // when the ranges of a service were last looked at for other fences
 	paces    map[string]*rate.Limiter
+	grants   map[string]int // grants in flight to each upstream
 	shunned  map[life]*shun
 }
 
@@ -224,11 +236,12 @@
 		leases:   map[uint64]*lease{},
 		tasks:    map[place]*task{},
 		targets:  map[place]string{},
-		first:    map[string]time.Time{},
+		first:    map[string]*firstPartition{},
 		loads:    map[string]*Load{},
 		looked:   map[string]time.Time{},
-		merges:   map[string]time.Time{},
+		refences: map[string]time.Time{},
 		paces:    map[string]*rate.Limiter{},
+		grants:   map[string]int{},
 		shunned:  map[life]*shun{},
 	}
 }
@@ -249,13 +262,15 @@
 		bound: kee.holdEnd(now),
 	}
 	if ran.GetPhase() == fpstate.Phase_PHASE_SERVING {
-		// The holder has its keys from the ranges that this one was merged from.
+		// The holder has its keys under the fences of the ranges that this one replaces.
 		lea.sent = true
+		lea.inherited = lea.bound
 	}
 	if fence <= kee.oldFence {
 		lea.bound = kee.holdEnd(kee.start)
 		lea.doubt = lea.bound
 		lea.sent = true
+		lea.inherited = time.Time{}
 	}
 	kee.leases[fence] = lea
 	return lea
@@ -294,9 +309,13 @@
 func (kee *Keeper) grantEnded(now time.Time, ord Order, res Result, tas *task) {
 	lea := kee.lease(now, ord.Range)
 	lea.grants--
+	kee.grants[ord.Upstream.GetId()]--
 	if !res.Fenced && !res.NotSent && !res.Withheld {
 		lea.sent = true
 		lea.bound = later(lea.bound, kee.holdEnd(now))
+		if res.Answered {
+			lea.inherited = time.Time{}
+		}
 		if !res.Answered || res.Doubtful {
 			lea.doubt = later(lea.doubt, kee.holdEnd(now))
 		}
@@ -394,7 +413,7 @@
 	// Moves touch only ranges that are served and stay so, so they do not meet the changes above.
 	moves := kee.rebalance(now, vie)
 	cha.add("balance", moves)
-	cha.add("merged", kee.merged(now, vie, moves))
+	cha.add("refenced", kee.refenced(now, vie, moves))
 	return orders, cha
 }
 
@@ -507,6 +526,9 @@
 		return one.tas.next.Compare(other.tas.next)
 	})
 	for _, gra := range due {
+		if kee.grants[gra.holder.GetId()] >= maxGrants {
+			continue
+		}
 		if !pace.AllowN(now, 1) {
 			break
 		}
@@ -523,6 +545,7 @@
 	tas.inFlight = true
 	if act == Grant {
 		kee.lease(now, ran).grants++
+		kee.grants[ups.GetId()]++
 	}
 	return append(orders, Order{
 		Service:  service,
@@ -539,13 +562,13 @@
 	if holder.GetLeaving() || holder.GetGone() {
 		return false
 	}
-	return kee.lease(now, ran).doubt.Sub(now) > longestDoubt
+	return kee.lease(now, ran).doubtEnd().Sub(now) > longestDoubt
 }
 
 // releasing continues the release of a range.
 func (kee *Keeper) releasing(now time.Time, vie View, ran *fpstate.Range, tas *task, holder *fpstate.Upstream, orders []Order, taken []*fpstate.Range) ([]Order, []*fpstate.Range) {
 	lea := kee.lease(now, ran)
-	if tas.confirmed && now.After(lea.doubt) || lea.over(now) {
+	if tas.confirmed && now.After(lea.doubtEnd()) || lea.over(now) {
 		return orders, append(taken, kee.assign(now, vie, ran, tas.handover)...)
 	}
 	if tas.confirmed || lea.grants > 0 {
--- a/internal/control/fpkeeper/keeper_test.go
+++ b/internal/control/fpkeeper/keeper_test.go
@@ -218,8 +218,8 @@
 	took := time.Duration(0)
 	for len(renewed) < len(rig.ranges) && took < DefaultRenewal {
 		orders := rig.plan()
-		const steady = 231 * step / DefaultRenewal
-		if most := paceBurst + paceFactor*int(steady+1); len(orders) > most {
+		steady := 231 * step.Seconds() / DefaultRenewal.Seconds()
+		if most := paceBurst + int(paceFactor*(steady+1)); len(orders) > most {
 			t.Fatalf("%d orders at once, want %d at most", len(orders), most)
 		}
 		for _, ord := range orders {
--- a/internal/control/fpkeeper/merge.go
+++ b/internal/control/fpkeeper/merge.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// mergePause is the time between looks for ranges to merge.
-	mergePause = 2 * time.Second
+	// refencePause is the time between looks for ranges that need another fence.
+	refencePause = time.Second
 	// tidyRanges is the number of ranges for each upstream above which moves save ranges.
 	tidyRanges = 1.3
 	// tidyMoves bounds the moves that save ranges and start together.
@@ -58,24 +58,25 @@
 	return parts
 }
 
-// merged returns ranges that take the place of neighbouring ones of the same upstream, each under a new fence, so that moves
-// leave no more ranges behind than needed. Ranges that are to move are left alone.
-func (kee *Keeper) merged(now time.Time, vie View, moves []*fpstate.Range) []*fpstate.Range {
-	if now.Sub(kee.merges[vie.Service]) < mergePause {
+// refenced returns ranges that stay at their holder under another fence: neighbouring ones of one holder become one, so that moves
+// leave no more ranges behind than needed, and those in doubt can be moved once a grant under the new fence is answered. Ranges
+// that are to move are left alone.
+func (kee *Keeper) refenced(now time.Time, vie View, moves []*fpstate.Range) []*fpstate.Range {
+	if now.Sub(kee.refences[vie.Service]) < refencePause {
 		return nil
 	}
-	kee.merges[vie.Service] = now
+	kee.refences[vie.Service] = now
 	var out []*fpstate.Range
 	var run *fpstate.Range
-	joined := 0
+	joined, doubted := 0, false
 	flush := func() {
-		if joined > 1 {
+		if joined > 1 || doubted {
 			out = append(out, run)
 		}
-		run, joined = nil, 0
+		run, joined, doubted = nil, 0, false
 	}
 	for _, ran := range vie.Ranges {
-		if ran.GetPhase() != fpstate.Phase_PHASE_SERVING || !kee.quiet(now, vie, ran) || besideAny(moves, ran) {
+		if ran.GetPhase() != fpstate.Phase_PHASE_SERVING || !kee.stays(now, vie, ran) || besideAny(moves, ran) {
 			flush()
 			continue
 		}
@@ -88,17 +89,25 @@
 		}
 		run.Last = ran.GetLast()
 		joined++
+		doubted = doubted || kee.doubted(now, ran)
 	}
 	flush()
 	return out
 }
 
-// quiet reports whether a served range can get another fence: its holder stays, and no call that names its old fence may still
-// take effect.
-func (kee *Keeper) quiet(now time.Time, vie View, ran *fpstate.Range) bool {
+// doubted reports whether calls under the fence of a range may still take effect, which no answer has ended yet.
+func (kee *Keeper) doubted(now time.Time, ran *fpstate.Range) bool {
+	lea := kee.lease(now, ran)
+	return now.Before(lea.doubt) && lea.inherited.IsZero()
+}
+
+// stays reports whether the holder of a served range keeps it, with no grant in flight and none that waits for an answer under its
+// newest fence.
+func (kee *Keeper) stays(now time.Time, vie View, ran *fpstate.Range) bool {
 	holder := vie.Lookup(ran.GetUpstream())
-	stays := holder != nil && holder.GetBorn() == ran.GetBorn() && !holder.GetLeaving() && !holder.GetGone()
-	return stays && kee.movable(now, ran) && kee.lease(now, ran).grants == 0
+	lea := kee.lease(now, ran)
+	here := holder != nil && holder.GetBorn() == ran.GetBorn() && !holder.GetLeaving() && !holder.GetGone()
+	return here && lea.grants == 0 && lea.inherited.IsZero() && !lea.over(now)
 }
 
 // besideAny reports whether a range overlaps one of others or is next to it.
--- a/internal/control/fpkeeper/moves.go
+++ b/internal/control/fpkeeper/moves.go
@@ -155,6 +155,9 @@
 			best = mve
 		}
 	}
+	if to.empty() && from.rate < fewRequests {
+		return mov.half(from, to)
+	}
 	wanted := wantedRate(mov.all, from, to)
 	for _, ran := range from.ranges {
 		if !mov.kee.movable(mov.now, ran) {
@@ -269,7 +272,7 @@
 // fits reports whether a rate reaches most of the wanted one and is not far above it.
 func fits(rate, wanted float64) bool {
 	const enough, tooMuch = 0.7, 1.6
-	return rate >= enough*wanted && rate <= tooMuch*wanted
+	return wanted > 0 && rate >= enough*wanted && rate <= tooMuch*wanted
 }
 
 // startOf returns the first keys of a range whose rate fits the wanted one, or nil.
@@ -302,7 +305,7 @@
 // and one whose hold has passed is assigned anew.
 func (kee *Keeper) movable(now time.Time, ran *fpstate.Range) bool {
 	lea := kee.lease(now, ran)
-	return !now.Before(lea.doubt) && !lea.over(now)
+	return !now.Before(lea.doubtEnd()) && !lea.over(now)
 }
 
 // besideHottest returns what lies on both sides of the hottest key of a range. When one key alone keeps its upstream busy,
