--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -9,13 +9,18 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
-// The cost of distance in expected time. Bytes that leave the data centre or the region are billed and share a thin link,
-// so an answer of the size of a bundle goes there only when the way is much shorter otherwise.
+// The cost of distance in expected time: the least one, and the one as a share of the objective. Bytes that leave the data centre or
+// the region are billed and share a thin link, so a request goes there only when it saves more of the wait than that. As long as
+// the wait is within the objective, the caller loses nothing.
 const (
-	regionCost       = 4 * time.Millisecond
-	linkCost         = 90 * time.Millisecond
-	bundleRegionCost = 100 * time.Millisecond
-	bundleLinkCost   = 500 * time.Millisecond
+	regionCost        = 4 * time.Millisecond
+	linkCost          = 90 * time.Millisecond
+	bundleRegionCost  = 100 * time.Millisecond
+	bundleLinkCost    = 500 * time.Millisecond
+	regionShare       = 0.08
+	linkShare         = 0.2
+	bundleRegionShare = 0.3
+	bundleLinkShare   = 0.6
 )
 
 const (
@@ -200,18 +205,24 @@
 	}
 	cost += time.Duration((exc.fwd.random() - 0.5) * jitterShare * float64(cost))
 	cost += time.Duration(sta.failures * float64(failureCost))
+	return cost + exc.distanceCost(mem.far)
+}
+
+// distanceCost returns the cost of the distance of an upstream in expected time.
+func (exc *exchange) distanceCost(far distance) time.Duration {
+	least, share := time.Duration(0), 0.0
 	bundle := exc.route.GetKind() == fpstate.Kind_KIND_BUNDLE
 	switch {
-	case mem.far == sameRegion && bundle:
-		cost += bundleRegionCost
-	case mem.far == sameRegion:
-		cost += regionCost
-	case mem.far == otherRegion && bundle:
-		cost += bundleLinkCost
-	case mem.far == otherRegion:
-		cost += linkCost
-	}
-	return cost
+	case far == sameRegion && bundle:
+		least, share = bundleRegionCost, bundleRegionShare
+	case far == sameRegion:
+		least, share = regionCost, regionShare
+	case far == otherRegion && bundle:
+		least, share = bundleLinkCost, bundleLinkShare
+	case far == otherRegion:
+		least, share = linkCost, linkShare
+	}
+	return max(least, time.Duration(share*float64(exc.route.GetObjective().AsDuration())))
 }
 
 // admit refuses a request that would wait too long.
--- a/internal/route/fpforward/choose_test.go
+++ b/internal/route/fpforward/choose_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
@@ -209,3 +211,28 @@
 		t.Errorf("%d of 500 small requests crossed the link, though 20 requests are at the near upstream", got)
 	}
 }
+
+// TestOwnDataCentre answers the pattern of upstreams in every data centre that are about equally busy. It guards against requests
+// that leave the data centre for differences which are chance, and against callers that wait beyond their objective for an
+// upstream nearby.
+func TestOwnDataCentre(t *testing.T) {
+	exc, members := bench(3)
+	now := time.Now()
+	for _, mem := range members {
+		mem.answered(now, platform.Answer{}, 400*time.Millisecond, false)
+	}
+	members[1].far = sameRegion
+	members[2].far = sameRegion
+	exc.route = &fpstate.Route{
+		Objective: durationpb.New(1500 * time.Millisecond),
+	}
+	if got := chosen(t, exc, 500)[members[0]]; got < 475 {
+		t.Errorf("%d of 500 requests stayed in the data centre, whose upstream is as idle as the others", got)
+	}
+	for range 12 {
+		members[0].begin()
+	}
+	if got := chosen(t, exc, 500)[members[0]]; got > 25 {
+		t.Errorf("%d of 500 requests went to the upstream nearby, at which 12 requests wait", got)
+	}
+}
