--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -24,9 +24,10 @@
 const (
 	// watchWait is how long a control VM waits for a change before it answers.
 	watchWait = 700 * time.Millisecond
-	// leastMargin is what a poll may take beyond its wait. It finds a control VM that is cut off or frozen, and together
-	// with an election it stays below the 2.5 s within which an upstream that leaves gets no further request. On a link
-	// that is full an answer takes longer, so the margin doubles with each poll that runs out of time, up to mostMargin.
+	// leastMargin is what a poll may take beyond its wait before another control VM is asked, too. It finds a control VM that
+	// is cut off or frozen, and together with an election it stays below the 2.5 s within which an upstream that leaves gets
+	// no further request. On a link that is full an answer takes longer, so the time of a whole poll doubles with each one that
+	// runs out of it, up to mostMargin.
 	leastMargin = 400 * time.Millisecond
 	mostMargin  = 3200 * time.Millisecond
 	// watchPause is the time before the next control VM is asked after a failure.
@@ -131,24 +132,80 @@
 func (wat *watcher) watch(ctx context.Context) {
 	connected := ""
 	for ctx.Err() == nil {
-		address := wat.choose(time.Now())
-		err := wat.watchOnce(ctx, address)
-		if err == nil {
-			if connected != address {
-				connected = address
-				wat.log.Info("following a control VM", zap.String("peer", address), zap.Uint64("index", wat.forwarder.Index()))
+		one := wat.poll(ctx, wat.choose(time.Now(), ""))
+		if one.err == nil {
+			if connected != one.address {
+				connected = one.address
+				wat.log.Info("following a control VM", zap.String("peer", connected), zap.Uint64("index", wat.forwarder.Index()))
 			}
 			continue
 		}
 		if connected != "" {
 			connected = ""
-			wat.log.Info("lost a control VM", zap.String("peer", address), zap.Uint64("index", wat.forwarder.Index()), zap.Error(err))
+			wat.log.Info("lost a control VM", zap.String("peer", one.address), zap.Uint64("index", wat.forwarder.Index()), zap.Error(one.err))
 		}
-		wat.avoid(address, time.Now())
 		sleep(ctx, watchPause+time.Duration(rand.Int64N(int64(watchPause))))
 	}
 }
 
+// polled is the end of a poll of a control VM.
+type polled struct {
+	address string
+	res     *fpstate.WatchResponse
+	err     error
+}
+
+// poll asks a control VM for changes and puts them into force. When it is late, another one is asked beside it, so that a frozen
+// control VM does not keep this VM from learning what has changed.
+func (wat *watcher) poll(ctx context.Context, address string) polled {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+wat.margin)
+	defer cancel()
+	results := make(chan polled, 2)
+	ask := func(address string, wait time.Duration) { go func() { results <- wat.ask(ctx, address, wait) }() }
+	ask(address, watchWait)
+	late := time.NewTimer(watchWait + leastMargin)
+	defer late.Stop()
+	for asked := 1; ; {
+		select {
+		case <-late.C:
+			if other := wat.choose(time.Now(), address); other != "" {
+				asked++
+				ask(other, 0)
+			}
+		case one := <-results:
+			asked--
+			wat.take(ctx, &one)
+			if one.err != nil {
+				wat.avoid(one.address, time.Now())
+			}
+			if one.err == nil || asked == 0 {
+				if one.address != address {
+					wat.avoid(address, time.Now())
+				}
+				return one
+			}
+		}
+	}
+}
+
+// ask asks a control VM for what has changed, which may wait for a change.
+func (wat *watcher) ask(ctx context.Context, address string, wait time.Duration) polled {
+	one := polled{
+		address: address,
+	}
+	res, err := wat.clientOf(address).Watch(ctx, connect.NewRequest(&fpstate.WatchRequest{
+		Vm:    wat.vm,
+		After: wat.forwarder.Index(),
+		Wait:  durationpb.New(wait),
+	}))
+	if err != nil {
+		one.err = err
+		return one
+	}
+	one.res = res.Msg
+	return one
+}
+
 // place is what is known of a control VM.
 type place struct {
 	// known states that the VM has answered, and far how far away it is.
@@ -166,15 +223,18 @@
 	farOtherRegion
 )
 
-// choose returns the control VM to ask: one whose location is not known yet, or the nearest one. Which of several is taken
-// depends on the name of this VM, so that the entry VMs spread over the control VMs.
-func (wat *watcher) choose(now time.Time) string {
+// choose returns the control VM to ask: one whose location is not known yet, or the nearest one, but for the one that is excepted.
+// Which of several is taken depends on the name of this VM, so that the entry VMs spread over the control VMs.
+func (wat *watcher) choose(now time.Time, except string) string {
 	all := wat.addresses()
 	wat.mutex.Lock()
 	defer wat.mutex.Unlock()
 	best, least := "", 0
 	for num := range all {
 		address := all[(num+wat.offset)%len(all)]
+		if address == except {
+			continue
+		}
 		pla := wat.places[address]
 		cost := 1 + pla.far
 		if !pla.known {
@@ -221,39 +281,31 @@
 	wat.places[address] = pla
 }
 
-// watchOnce asks a control VM for changes and puts them into force.
-func (wat *watcher) watchOnce(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+wat.margin)
-	defer cancel()
-	res, err := wat.clientOf(address).Watch(ctx, connect.NewRequest(&fpstate.WatchRequest{
-		Vm:    wat.vm,
-		After: wat.forwarder.Index(),
-		Wait:  durationpb.New(watchWait),
-	}))
-	if err != nil {
+// take puts what a control VM has answered into force. The answer is an error when the VM may not know the newest state.
+func (wat *watcher) take(ctx context.Context, one *polled) {
+	if one.err != nil {
 		if ctx.Err() != nil {
 			wat.margin = min(mostMargin, 2*wat.margin)
 		}
-		return err
+		return
 	}
 	wat.margin = max(leastMargin, wat.margin/2)
 	before := wat.forwarder.Configuration().GetRevision()
-	wat.forwarder.Update(res.Msg.GetState(), res.Msg.GetIndex(), res.Msg.GetEntries())
+	wat.forwarder.Update(one.res.GetState(), one.res.GetIndex(), one.res.GetEntries())
 	if after := wat.forwarder.Configuration().GetRevision(); after != before {
 		wat.log.Info("configuration in force", zap.Uint64("revision", after), zap.Uint64("before", before),
-			zap.Uint64("index", res.Msg.GetIndex()), zap.String("peer", address))
+			zap.Uint64("index", one.res.GetIndex()), zap.String("peer", one.address))
 	}
 	wat.mutex.Lock()
 	defer wat.mutex.Unlock()
-	if len(res.Msg.GetMembers()) > 0 {
-		wat.members = res.Msg.GetMembers()
+	if len(one.res.GetMembers()) > 0 {
+		wat.members = one.res.GetMembers()
 	}
-	wat.leader = res.Msg.GetLeader()
-	wat.locate(address, res.Msg)
-	if res.Msg.GetStale() {
-		return errStale
+	wat.leader = one.res.GetLeader()
+	wat.locate(one.address, one.res)
+	if one.res.GetStale() {
+		one.err = errStale
 	}
-	return nil
 }
 
 // report sends the load that was counted to the leader.
