fpcontrol, fpgroup: make a voter a learner when a lost one is back

Cause: a learner that got a vote for a lost voter kept it when that one came back, so that the number of voters became even. Change: fpgroup.Demote; the leader demotes a voter beyond 2 x losses + 1 when all of them answer. TestLostVoter and TestLearner cover it.

--- a/internal/control/fpgroup/change.go
+++ b/internal/control/fpgroup/change.go
@@ -16,6 +16,7 @@
 	removeVoter
 	repairVoter
 	addLearner
+	demoteVoter
 )
 
 // change is the one membership change that runs. Its progress follows from the membership and from what the peers have
@@ -70,6 +71,8 @@
 	switch {
 	case cha.kind == removeVoter:
 		cor.advanceRemoval(one)
+	case cha.kind == demoteVoter:
+		cor.advanceDemotion(one)
 	case one != nil && cha.kind == addLearner:
 		cor.finishChange(nil)
 	case one == nil && cha.kind == repairVoter:
@@ -99,6 +102,22 @@
 	}
 }
 
+func (cor *core) advanceDemotion(one *fpwire.Member) {
+	switch {
+	case one == nil || one.GetLearner():
+		cor.finishChange(nil)
+	case one.GetVm() == cor.cfg.VM:
+		cor.finishChange(fperror.New(fperror.InvalidRequest, "VM %s leads group %s", one.GetVm(), cor.cfg.Name))
+	case !cor.answers(withoutMember(cor.members(), one.GetVm())):
+		cor.finishChange(fperror.New(fperror.NoQuorum, "without VM %s, too few voters of group %s answer", one.GetVm(), cor.cfg.Name))
+	default:
+		cor.proposeMember(&fpwire.Member{
+			Vm:      one.GetVm(),
+			Learner: true,
+		})
+	}
+}
+
 // answers reports whether a quorum of the given membership has answered within the last Lease. Otherwise the removal of a
 // voter could never be committed, and the group would stay without a quorum.
 func (cor *core) answers(mem *fpwire.Membership) bool {
--- a/internal/control/fpgroup/group.go
+++ b/internal/control/fpgroup/group.go
@@ -246,6 +246,11 @@
 	return gro.change(ctx, addLearner, vm)
 }
 
+// Demote makes a voter a learner. The leader cannot demote itself.
+func (gro *Group) Demote(ctx context.Context, vm string) error {
+	return gro.change(ctx, demoteVoter, vm)
+}
+
 // RemoveVoter removes a VM from the group. A leader that is removed steps down.
 func (gro *Group) RemoveVoter(ctx context.Context, vm string) error {
 	return gro.change(ctx, removeVoter, vm)
--- a/internal/control/fpgroup/rules_test.go
+++ b/internal/control/fpgroup/rules_test.go
@@ -703,6 +703,17 @@
 		if sta.Applied.Index != led.group().Status().Applied.Index || sta.Leader != led.name {
 			t.Errorf("the learner follows %q and has applied %v, the leader %v", sta.Leader, sta.Applied, led.group().Status().Applied)
 		}
+		for range 2 {
+			if err := led.group().AddVoter(ctx, "vm-3"); err != nil {
+				t.Errorf("%+v", err)
+			}
+			if err := led.group().Demote(ctx, "vm-3"); err != nil {
+				t.Errorf("%+v", err)
+			}
+		}
+		if err := led.group().Demote(ctx, led.name); err == nil {
+			t.Error("the leader has demoted itself")
+		}
 		wor.isolate("vm-3", true)
 		time.Sleep(time.Minute)
 		if sta := lea.group().Status(); sta.Leader != "" || sta.Role != Follower {
--- a/internal/node/fpcontrol/control_test.go
+++ b/internal/node/fpcontrol/control_test.go
@@ -220,20 +220,22 @@
 }
 
 // TestLostVoter guards against a group that bears no further loss although a VM without a vote could take the place of a lost
-// voter.
+// voter, and against an even number of voters after that one has come back.
 func TestLostVoter(t *testing.T) {
 	clu := newCluster(t, 4)
 	clu.awaitVoters(3)
 	clu.put(5)
 	spare := clu.learner()
+	lost := ""
 	for vm := range clu.vms {
 		if vm != spare {
-			clu.stop(vm)
-			break
+			lost = vm
 		}
 	}
+	clu.stop(lost)
 	// The lost VM has a vote until it is removed.
 	clu.awaitVoters(4)
+	clu.start(lost, false)
 	clu.awaitVoters(3)
 	clu.awaitRevision(5)
 }
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -119,9 +119,33 @@
 	if vm := con.removable(sta); vm != "" {
 		return "remove", vm, con.group.RemoveVoter
 	}
+	if vm := con.surplus(sta); vm != "" {
+		return "demote", vm, con.group.Demote
+	}
 	return "", "", nil
 }
 
+// surplus returns a voter that is not needed, because a lost one has come back after a learner got a vote in its place.
+func (con *Control) surplus(sta fpgroup.Status) string {
+	last, live := "", 0
+	for _, mst := range sta.Members {
+		switch {
+		case mst.Learner:
+		case mst.VM != con.cfg.VM && con.silent(mst.VM, silentAfter):
+			return "" // it is not known yet which voters remain
+		default:
+			live++
+			if mst.VM != con.cfg.VM {
+				last = mst.VM
+			}
+		}
+	}
+	if live <= con.wantedVoters() {
+		return ""
+	}
+	return last
+}
+
 // liveVoters returns the number of voters that have taken a message within a time.
 func (con *Control) liveVoters(sta fpgroup.Status, within time.Duration) int {
 	live := 0
