fpforward: explore upstreams that others outpace

Change: the VMs of a data centre send one request in 1.5 s to each upstream there from which an answer is expected well within the objective.

--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -35,6 +35,8 @@
 	// newcomerAge is the age of this VM from which upstreams that it learns of are taken for new ones. When a deployment
 	// starts, all VMs and upstreams come up within this time.
 	newcomerAge = 10 * time.Second
+	// exploreShare is the part of the objective within which an answer has to be expected of an upstream that is explored.
+	exploreShare = 0.6
 	// ownerWait is how long a request waits for an owner of its key when none is in sight: below an eighth of the shortest
 	// objective, after which a refusal would have been better.
 	ownerWait = 45 * time.Millisecond
@@ -199,8 +201,8 @@
 // cost returns the expected time of an answer, with the distance and the failures of the upstream.
 func (exc *exchange) cost(mem *member, sta state) time.Duration {
 	cost := sta.expected()
-	if sta.due && exc.fwd.joinedLater(mem) {
-		// Without this, an upstream that has joined would get nothing as long as others are not busy.
+	if sta.due && exc.explores(mem, sta) {
+		// Without this, an upstream that has joined, or was slow once, would get nothing as long as others are not busy.
 		cost = 0
 	}
 	cost += time.Duration((exc.fwd.random() - 0.5) * jitterShare * float64(cost))
@@ -208,6 +210,23 @@
 	return cost + exc.distanceCost(mem.far)
 }
 
+// explores reports whether the request may go to an upstream from which others are expected to answer sooner: the answer has to be
+// well within the objective.
+func (exc *exchange) explores(mem *member, sta state) bool {
+	if !sta.known {
+		return exc.fwd.joinedLater(mem)
+	}
+	return sta.expected() <= time.Duration(exploreShare*float64(exc.route.GetObjective().AsDuration()))
+}
+
+// explorePause returns the time until a VM sends the next request to an upstream that it would not choose. The VMs of a data centre
+// take turns.
+func (fwd *Forwarder) explorePause() time.Duration {
+	vie := fwd.view.Load()
+	near := max(1, float64(fwd.entries.Load())/float64(max(1, vie.dataCentres)))
+	return time.Duration((0.5 + fwd.random()) * near * float64(exploreEvery))
+}
+
 // distanceCost returns the cost of the distance of an upstream in expected time.
 func (exc *exchange) distanceCost(far distance) time.Duration {
 	least, share := time.Duration(0), 0.0
--- a/internal/route/fpforward/choose_test.go
+++ b/internal/route/fpforward/choose_test.go
@@ -236,3 +236,38 @@
 		t.Errorf("%d of 500 requests went to the upstream nearby, at which 12 requests wait", got)
 	}
 }
+
+// TestSlowUpstreamIsExplored answers the pattern of an upstream that was slow when it joined. It guards against one that gets no
+// requests for good, and against many requests that are late because of it.
+func TestSlowUpstreamIsExplored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		exc, members := bench(3)
+		exc.route = &fpstate.Route{
+			Objective: durationpb.New(1500 * time.Millisecond),
+		}
+		for _, mem := range members {
+			mem.answered(time.Now(), platform.Answer{}, 400*time.Millisecond, false)
+		}
+		slow := members[2]
+		slow.answered(time.Now(), platform.Answer{}, 2*time.Second, false)
+		count := 0
+		const requests = 600
+		for range requests {
+			time.Sleep(100 * time.Millisecond)
+			exc.deadline = time.Now().Add(time.Minute)
+			cho, err := exc.chooseAny()
+			if err != nil {
+				t.Fatal(err)
+			}
+			cho.member.begin()
+			cho.member.exploreAfter(exc.fwd.explorePause())
+			cho.member.end()
+			if cho.member == slow {
+				count++
+			}
+		}
+		if count < 20 || count > requests/10 {
+			t.Errorf("an upstream that is slower than the others got %d of %d requests in 60 s", count, requests)
+		}
+	})
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -232,6 +232,7 @@
 	exc.runs++
 	exc.tried[mem] = true
 	mem.begin()
+	mem.exploreAfter(exc.fwd.explorePause())
 	sent := time.Now()
 	rep, err := exc.send(ctx, mem, lin)
 	mem.end()
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -75,6 +75,8 @@
 	spaces    map[string]*fpstate.KeySpace
 	holders   map[life]*member
 	at        time.Time
+	// dataCentres is the number of data centres with upstreams.
+	dataCentres int
 }
 
 // New returns a forwarder that knows no configuration.
@@ -144,6 +146,7 @@
 	defer fwd.mutex.Unlock()
 	next.services = map[string][]*member{}
 	next.holders = map[life]*member{}
+	places := map[string]bool{}
 	for _, id := range slices.Sorted(maps.Keys(next.upstreams)) {
 		ups := next.upstreams[id]
 		lif := life{
@@ -163,6 +166,7 @@
 			fwd.members[lif] = mem
 		}
 		next.holders[lif] = mem
+		places[ups.GetDataCentre()] = true
 		next.services[ups.GetService()] = append(next.services[ups.GetService()], mem)
 	}
 	for lif, mem := range fwd.members {
@@ -171,6 +175,7 @@
 			delete(fwd.members, lif)
 		}
 	}
+	next.dataCentres = len(places)
 	fwd.view.Store(next)
 	close(fwd.changed)
 	fwd.changed = make(chan struct{})
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -49,6 +49,9 @@
 	// not come together; explorePause is the time until the next one if there was no answer.
 	exploreSpread = 2 * time.Second
 	explorePause  = 10 * time.Second
+	// exploreEvery is the time between requests of the VMs of a data centre to an upstream there that they would not choose.
+	// Without any, an upstream that was slow once would never show that it is better.
+	exploreEvery = 1500 * time.Millisecond
 	// shedPause is how long an upstream that sheds gets no further request from this VM.
 	shedPause = 60 * time.Millisecond
 )
@@ -70,7 +73,7 @@
 	since    time.Time
 
 	mutex sync.Mutex
-	// explore is when the upstream is due for a request from this VM although it has not answered any.
+	// explore is when the upstream is due for a request from this VM although others are expected to answer sooner.
 	explore  time.Time
 	inFlight int
 	// mean is the mean time of an answer without waiting.
@@ -142,7 +145,7 @@
 	failures float64
 	// known states that the upstream has answered, so that mean and load are its own.
 	known bool
-	// due states that the upstream has not answered and is due for a request.
+	// due states that the upstream is due for a request although others are expected to answer sooner.
 	due bool
 }
 
@@ -169,7 +172,7 @@
 		failures: mem.failures,
 		known:    mem.answers > 0,
 	}
-	sta.due = !sta.known && mem.inFlight == 0 && now.After(mem.explore)
+	sta.due = (!sta.known || mem.far == sameDataCentre) && mem.inFlight == 0 && now.After(mem.explore)
 	if !sta.known {
 		sta.mean = defaultTime
 	}
@@ -237,6 +240,15 @@
 	mem.explore = time.Now().Add(explorePause)
 }
 
+// exploreAfter sets when the upstream is due again, if it has answered.
+func (mem *member) exploreAfter(pause time.Duration) {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	if mem.answers > 0 {
+		mem.explore = time.Now().Add(pause)
+	}
+}
+
 // end counts the end of a request.
 func (mem *member) end() {
 	mem.mutex.Lock()
