--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -21,8 +21,6 @@
 package fpkeeper
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -37,27 +35,12 @@
 	DefaultHold = 7 * time.Second
 	// DefaultRenewal is the time between renewals, a quarter of the hold time.
 	DefaultRenewal = 1500 * time.Millisecond
-	// driftPercent is the bound on how slow the clock of an upstream runs (2%), with a margin.
-	driftPercent = 3
-	// arrivalSlack covers bytes that are still under way when a call is given up.
-	arrivalSlack = 500 * time.Millisecond
 	// retryPause is the time between tries of an order that failed.
 	retryPause = 150 * time.Millisecond
-	// paceFactor bounds the grants a second as a multiple of the steady rate of renewals, and paceBurst those at once. When
-	// the renewals of all ranges are due together, as after a change of the leader, the calls would otherwise keep the
-	// leader from confirming its lease.
-	paceFactor = 1.5
-	paceBurst  = 32
-	// maxGrants is the number of grants in flight to one upstream, which share its kept connections.
-	maxGrants = 2
 	// maxRefused is how often a connection for the first grant of a range may fail before another upstream is chosen.
 	maxRefused = 1
 	// maxUnanswered is how many grants without an answer are sent to an upstream that gives no other sign of life.
 	maxUnanswered = 2
-	// firstShun and mostShun bound how long an upstream is given no keys after it has lost some because it answered no
-	// grants. The first is a hold time, which is how long the keys of the next try are without an owner if it fails, too.
-	firstShun = DefaultHold
-	mostShun  = 4 * DefaultHold
 	// longestDoubt is how long a move waits for a doubt to pass rather than being given up.
 	longestDoubt = 500 * time.Millisecond
 	// settleTime is how long the first partition waits after the last upstream has announced itself, so that all of them get
@@ -145,27 +128,6 @@
 	AtAddress func(address string) *fpstate.Upstream
 }
 
-// lease is what the keeper knows of the grants under one fence.
-type lease struct {
-	since time.Time // when the keeper has learnt of the fence
-	bound time.Time
-	doubt time.Time
-	// sent states that a grant may have reached the holder.
-	sent bool
-	// inherited is the doubt about calls under earlier fences, of ranges that this one replaces at their holder. It ends with
-	// the first answer to a grant, because the holder then refuses lower fences.
-	inherited time.Time
-	// grants is the number of grants in flight. A release waits for them, because a renewal of a range that was split
-	// since would give the released part back.
-	grants int
-}
-
-// doubtEnd returns until when a call that got no answer may take effect.
-func (lea *lease) doubtEnd() time.Time { return later(lea.doubt, lea.inherited) }
-
-// over reports whether the holder can hold nothing any more. A grant in flight may still arrive.
-func (lea *lease) over(now time.Time) bool { return lea.grants == 0 && now.After(lea.bound) }
-
 // place identifies a range in one state of the ranges.
 type place struct {
 	service string
@@ -216,18 +178,6 @@
 	shunned  map[life]*shun
 }
 
-// life identifies one life of an upstream.
-type life struct {
-	id   string
-	born uint64
-}
-
-// shun is how long an upstream is given no keys that has lost some because it answered no grants.
-type shun struct {
-	until time.Time
-	next  time.Duration
-}
-
 // New returns the keeper of a leadership that starts now. No fence above lastFence has been granted before.
 func New(now time.Time, lastFence uint64, cfg Config) *Keeper {
 	if cfg.Hold == 0 {
@@ -254,37 +204,6 @@
 	}
 }
 
-// holdEnd returns until when an upstream may hold a range if the last call to it ended at a moment.
-func (kee *Keeper) holdEnd(end time.Time) time.Time {
-	return end.Add(kee.cfg.Hold + kee.cfg.Hold*driftPercent/100 + arrivalSlack)
-}
-
-// lease returns the record of the fence of a range.
-func (kee *Keeper) lease(now time.Time, ran *fpstate.Range) *lease {
-	fence := ran.GetFence()
-	lea := kee.leases[fence]
-	if lea != nil {
-		return lea
-	}
-	lea = &lease{
-		since: now,
-		bound: kee.holdEnd(now),
-	}
-	if ran.GetPhase() == fpstate.Phase_PHASE_SERVING {
-		// The holder has its keys under the fences of the ranges that this one replaces.
-		lea.sent = true
-		lea.inherited = lea.bound
-	}
-	if fence <= kee.oldFence {
-		lea.bound = kee.holdEnd(kee.start)
-		lea.doubt = lea.bound
-		lea.sent = true
-		lea.inherited = time.Time{}
-	}
-	kee.leases[fence] = lea
-	return lea
-}
-
 // Load returns the load of a service.
 func (kee *Keeper) Load(service string) *Load {
 	loa := kee.loads[service]
@@ -430,38 +349,6 @@
 	return orders, cha
 }
 
-// shun gives an upstream no keys for some time, longer each time that it loses keys.
-func (kee *Keeper) shun(now time.Time, ran *fpstate.Range) {
-	lif := life{
-		id:   ran.GetUpstream(),
-		born: ran.GetBorn(),
-	}
-	shu := kee.shunned[lif]
-	if shu == nil {
-		shu = &shun{
-			next: firstShun,
-		}
-		kee.shunned[lif] = shu
-	}
-	if now.Before(shu.until) {
-		return // it has lost several ranges together
-	}
-	shu.until = now.Add(shu.next)
-	shu.next = min(mostShun, 2*shu.next)
-}
-
-// takesKeys reports whether an upstream may be given keys.
-func (kee *Keeper) takesKeys(now time.Time, sta *standing) bool {
-	if sta.ups.GetLeaving() || kee.silent(now, sta) {
-		return false
-	}
-	shu := kee.shunned[life{
-		id:   sta.ups.GetId(),
-		born: sta.ups.GetBorn(),
-	}]
-	return shu == nil || !now.Before(shu.until)
-}
-
 // staysPut reports whether a range whose holder is silent stays where it is because there is no other upstream.
 func staysPut(vie View, ran *fpstate.Range, holder *fpstate.Upstream) bool {
 	for _, ups := range vie.Upstreams {
@@ -524,43 +411,6 @@
 	return other != nil && other.GetId() != holder.GetId() && other.GetBorn() > holder.GetBorn()
 }
 
-// grant is a grant that is due.
-type grant struct {
-	ran    *fpstate.Range
-	tas    *task
-	holder *fpstate.Upstream
-}
-
-// due reports whether the next order for a range may be sent.
-func (tas *task) due(now time.Time) bool { return !tas.inFlight && !now.Before(tas.next) }
-
-// paced adds the grants that are due as far as the pace allows: first those of ranges that nobody serves yet, then the
-// renewals that have been due for the longest time.
-func (kee *Keeper) paced(now time.Time, vie View, due []grant, orders []Order) []Order {
-	pace := kee.paces[vie.Service]
-	if pace == nil {
-		pace = rate.NewLimiter(0, paceBurst)
-		kee.paces[vie.Service] = pace
-	}
-	pace.SetLimitAt(now, rate.Limit(paceFactor*float64(len(vie.Ranges))/kee.cfg.Renewal.Seconds()))
-	slices.SortStableFunc(due, func(one, other grant) int {
-		if one.ran.GetPhase() != other.ran.GetPhase() {
-			return cmp.Compare(one.ran.GetPhase(), other.ran.GetPhase())
-		}
-		return one.tas.next.Compare(other.tas.next)
-	})
-	for _, gra := range due {
-		if kee.grants[gra.holder.GetId()] >= maxGrants {
-			continue
-		}
-		if !pace.AllowN(now, 1) {
-			break
-		}
-		orders = kee.order(now, vie.Service, Grant, gra.ran, gra.tas, gra.holder, orders)
-	}
-	return orders
-}
-
 // order adds an order if one is due.
 func (kee *Keeper) order(now time.Time, service string, act Action, ran *fpstate.Range, tas *task, ups *fpstate.Upstream, orders []Order) []Order {
 	if !tas.due(now) || ups == nil {
