--- a/internal/control/fpgroup/core.go
+++ b/internal/control/fpgroup/core.go
@@ -158,12 +158,13 @@
 		return
 	}
 	cor.resetElection()
-	if cor.mayStand() {
+	switch {
+	case cor.mayStand():
 		cor.askPreVotes()
-		return
+	case !cor.isVoter():
+		// A learner that is cut off must not name a leader forever.
+		cor.becomeFollower(cor.hard.Term)
 	}
-	// A learner that is cut off must not name a leader forever.
-	cor.becomeFollower(cor.hard.Term)
 }
 
 // step handles one message.
