fpcontrol: count the silence of a newcomer from when the leader first knew it

Cause: forgetSilent counted from the start of the leadership for an upstream that the leader had not heard of itself. Ruled out: a lost relay alone; the first look came before the first relay. Change: silences counts from the look at which the leader first knew a life, and an announcement counts as relayed only once the leader has answered.

--- a/internal/node/fpcontrol/beats.go
+++ b/internal/node/fpcontrol/beats.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
@@ -14,9 +13,6 @@
 const (
 	// relayInterval is the time between messages with announcements to the leader.
 	relayInterval = time.Second
-	// forgetAfter is the silence after which an upstream is removed. Upstreams that cannot reach control VMs for about
-	// ten seconds still serve requests, so it is longer than that.
-	forgetAfter = 20 * time.Second
 	// maxBeats bounds the number of upstreams of which the last announcement is remembered.
 	maxBeats = 8192
 )
@@ -27,7 +23,8 @@
 	sequence uint64
 	at       time.Time
 	upstream *fpstate.Upstream
-	relayed  bool
+	// relayed states that the leader has this announcement.
+	relayed bool
 }
 
 // beats holds the last announcement of each upstream that this VM has heard of.
@@ -69,7 +66,7 @@
 	delete(bts.last, id)
 }
 
-// unrelayed returns the announcements since the last call.
+// unrelayed returns the announcements that the leader may not have.
 func (bts *beats) unrelayed() []*fpstate.Announcement {
 	bts.mutex.Lock()
 	defer bts.mutex.Unlock()
@@ -78,7 +75,6 @@
 		if one.relayed {
 			continue
 		}
-		one.relayed = true
 		all = append(all, &fpstate.Announcement{
 			Sequence: one.sequence,
 			Upstream: &fpstate.Upstream{
@@ -90,6 +86,18 @@
 	return all
 }
 
+// relayed notes that the leader has some announcements.
+func (bts *beats) relayed(all []*fpstate.Announcement) {
+	bts.mutex.Lock()
+	defer bts.mutex.Unlock()
+	for _, ann := range all {
+		one := bts.last[ann.GetUpstream().GetId()]
+		if one != nil && one.born == ann.GetUpstream().GetBorn() && one.sequence == ann.GetSequence() {
+			one.relayed = true
+		}
+	}
+}
+
 // heardOf returns when an upstream was last heard of.
 func (bts *beats) heardOf(ups *fpstate.Upstream) (time.Time, bool) {
 	bts.mutex.Lock()
@@ -108,9 +116,10 @@
 		if leader == "" || leader == con.cfg.VM {
 			continue
 		}
+		pending := con.beats.unrelayed()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		res, err := con.peer(leader).Announce(call, connect.NewRequest(&fpstate.AnnounceRequest{
-			Announcements: con.beats.unrelayed(),
+			Announcements: pending,
 			Entries:       con.followers.count(),
 			Vm:            con.cfg.VM,
 		}))
@@ -119,29 +128,7 @@
 			con.metrics.lostRelays.Add(1)
 			continue
 		}
+		con.beats.relayed(pending)
 		con.followers.setTotal(res.Msg.GetEntries())
 	}
 }
-
-// forgetSilent removes upstreams that have not been heard of for a long time. It runs on the leader.
-func (con *Control) forgetSilent(ctx context.Context, since time.Time) {
-	for _, ups := range con.directory.Upstreams("") {
-		at, ok := con.beats.heardOf(ups)
-		if !ok || at.Before(since) {
-			at = since
-		}
-		if time.Since(at) < forgetAfter {
-			continue
-		}
-		err := con.proposeHere(ctx, &fpstate.Command{
-			Body: &fpstate.Command_Depart{
-				Depart: &fpstate.Departure{
-					Id:   ups.GetId(),
-					Born: ups.GetBorn(),
-				},
-			},
-		})
-		con.cfg.Log.Info("silent upstream removed", zap.String("upstream", ups.GetId()), zap.Uint64("born", ups.GetBorn()),
-			zap.Duration("silent", time.Since(at)), zap.Error(err))
-	}
-}
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -15,8 +15,6 @@
 const (
 	// planInterval is the time between looks at the ranges when nothing has changed.
 	planInterval = 200 * time.Millisecond
-	// forgetInterval is the time between looks at silent upstreams.
-	forgetInterval = time.Second
 	// longestLapse is how long orders in flight are continued when the lease of the leader has ended. A leader that follows
 	// allows for calls of its predecessor that arrive up to half a second after its lease.
 	longestLapse = 300 * time.Millisecond
@@ -83,12 +81,12 @@
 type placement struct {
 	con     *Control
 	term    uint64
-	started time.Time
 	keeper  *fpkeeper.Keeper
 	results chan ended
 	calls   sync.WaitGroup
-	// forgot is when silent upstreams were last looked for.
-	forgot time.Time
+	// silences finds silent upstreams, and forgot is when it last looked.
+	silences silences
+	forgot   time.Time
 	// lapsed is since when the lease has ended, or zero.
 	lapsed time.Time
 	// life is the context of the orders, and cut ends it.
@@ -103,7 +101,6 @@
 	pla := &placement{
 		con:     con,
 		term:    term,
-		started: now,
 		keeper:  fpkeeper.New(now, sta.GetLastFence(), fpkeeper.Config{}),
 		results: make(chan ended, 256),
 		forgot:  now,
@@ -165,7 +162,7 @@
 	}
 	if time.Since(pla.forgot) > forgetInterval {
 		pla.forgot = time.Now()
-		pla.con.forgetSilent(ctx, pla.started)
+		pla.con.forgetSilent(ctx, &pla.silences)
 	}
 }
 
