--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -140,7 +140,13 @@
 }
 
 // repeatable reports whether the request may run more than once.
-func (exc *exchange) repeatable() bool { return exc.route.GetKind() != fpstate.Kind_KIND_ONCE }
+func (exc *exchange) repeatable() bool {
+	switch exc.route.GetKind() {
+	case fpstate.Kind_KIND_IDEMPOTENT, fpstate.Kind_KIND_BUNDLE:
+		return true
+	}
+	return false
+}
 
 // serve sends the request until it is answered, or until no further attempt is allowed.
 func (exc *exchange) serve(ctx context.Context) {
