fpgate: notice that a caller with further requests leaves, and count their wait

Cause: the HTTP server stops looking for the end of a connection at the first byte of a further request. A request behind another one also got its whole time anew when its turn came, and a connection that was closed with requests unread was reset, which dropped the part of the answer that was still on its way. Ruled out: requests that come in one segment; there the server still sees the end. Log lines carry turnMs.

--- a/internal/node/fpgate/servers.go
+++ b/internal/node/fpgate/servers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -59,6 +60,7 @@
 		ReadHeaderTimeout: lim.headerTimeout,
 		IdleTimeout:       lim.idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnContext:       connContext,
 		// The library would answer OPTIONS * itself with a success that no upstream has given.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -105,10 +107,20 @@
 		srv.mutex.Lock()
 		que := srv.queue
 		srv.mutex.Unlock()
-		que.add(con)
+		que.add(newCallerConn(con))
 	}
 }
 
+// connContext returns the context of the requests of a connection, which ends when the caller leaves.
+func connContext(ctx context.Context, con net.Conn) context.Context {
+	caller, ok := con.(*callerConn)
+	if !ok {
+		return ctx
+	}
+	ctx, caller.left = context.WithCancel(ctx)
+	return fpforward.WithArrival(ctx, caller.arrived)
+}
+
 // shutdown closes the listener and idle connections, and waits for the requests in flight until ctx ends.
 func (srv *servers) shutdown(ctx context.Context) error {
 	srv.mutex.Lock()
--- a/internal/route/fpforward/counters.go
+++ b/internal/route/fpforward/counters.go
@@ -125,6 +125,9 @@
 		zap.Uint64("revision", exc.revision),
 		zap.Int("arrivals", exc.arrivals),
 	}
+	if exc.turn >= time.Millisecond {
+		fields = append(fields, zap.Int64("turnMs", exc.turn.Milliseconds()))
+	}
 	if exc.keyed {
 		fields = append(fields, zap.Uint32("key", exc.info.Key), zap.Uint64("fence", exc.last.ran.GetFence()))
 	}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -30,11 +30,13 @@
 
 // exchange is one request of a caller.
 type exchange struct {
-	fwd      *Forwarder
-	writer   http.ResponseWriter
-	request  *http.Request
-	info     platform.Request
-	start    time.Time
+	fwd     *Forwarder
+	writer  http.ResponseWriter
+	request *http.Request
+	info    platform.Request
+	start   time.Time
+	// turn is how long the request waited for the answers to those before it on its connection.
+	turn     time.Duration
 	deadline time.Time
 	route    *fpstate.Route
 	service  string
@@ -60,6 +62,23 @@
 	full bool
 }
 
+// arrivalKey is the key of a context's value that returns when the request was read.
+type arrivalKey struct{}
+
+// WithArrival returns a context whose requests were read at the times that a function returns, before their turn has come. It
+// is called once for each request.
+func WithArrival(ctx context.Context, arrived func() time.Time) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, arrived)
+}
+
+// ArrivalOf returns when a request was read; without WithArrival it is now.
+func ArrivalOf(ctx context.Context) time.Time {
+	if arrived, ok := ctx.Value(arrivalKey{}).(func() time.Time); ok {
+		return arrived()
+	}
+	return time.Now()
+}
+
 // ServeHTTP serves one request.
 func (fwd *Forwarder) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	exc := &exchange{
@@ -67,16 +86,22 @@
 		writer:    wri,
 		request:   req,
 		info:      platform.DecodeRequest(req.Header),
-		start:     time.Now(),
+		start:     ArrivalOf(req.Context()),
 		tried:     map[*member]bool{},
 		refusedBy: map[uint64]bool{},
 	}
+	exc.turn = time.Since(exc.start)
+	fwd.counters.phase("turn", exc.turn)
 	fwd.counters.inFlight.Add(1)
 	defer fwd.counters.inFlight.Add(-1)
 	if err := exc.prepare(); err != nil {
 		exc.fail(err)
 		return
 	}
+	if err := req.Context().Err(); err != nil {
+		exc.fail(fperror.Wrap(fperror.CallerCanceled, err, "the caller has left before the turn of its request"))
+		return
+	}
 	ctx, cancel := context.WithDeadline(req.Context(), exc.deadline)
 	defer cancel()
 	leave, err := exc.enterBundle(ctx)
