fpforward: uploads keep what they send within a bounded memory, and stay close by

Cause: a route for uploads was an ordinary non-repeatable one. Bodies above 128 KiB could not be sent again after a refusal, a body was read without any bound on the sum of all, a stalled sender held its request for ever, uploads crossed the link between regions as readily as small requests, and a broken body was answered as a failure of the upstream. Ruled out: places as bundles have them; an upload holds one for the time of its work too, and three places of a thin link refuse bursts that the link can carry. Change: bodies up to 1 MiB are kept before an upstream is chosen; the sum is an eighth of the memory of the process, beyond which the sender waits and is then refused unread; a body that no upstream can take is refused unread; the rest of a longer body can be sent again while nothing of it was; both directions are paced on a thin link; distance costs an upload what it costs a bundle; a sender has until its deadline; 400 and 413 for bodies that their caller broke.

--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -50,6 +50,7 @@
 			Region:     set.Region,
 			Promises:   set.Promises(),
 			Link:       set.Link(),
+			Memory:     set.Memory(),
 			Log:        log,
 		}),
 	}
--- a/internal/route/fpforward/bundle.go
+++ b/internal/route/fpforward/bundle.go
@@ -91,7 +91,7 @@
 func (red *pacedReader) Read(buf []byte) (int, error) {
 	num, err := red.from.Read(buf[:min(len(buf), pacedBurst)])
 	if errWait := red.limiter.WaitN(red.ctx, num); errWait != nil && err == nil {
-		err = errWait
+		err = fperror.Wrap(fperror.DeadlineExceeded, errWait, "the link has no room in time")
 	}
 	return num, err
 }
--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -13,14 +13,14 @@
 // the region are billed and share a thin link, so a request goes there only when it saves more of the wait than that. As long as
 // the wait is within the objective, the caller loses nothing.
 const (
-	regionCost        = 4 * time.Millisecond
-	linkCost          = 90 * time.Millisecond
-	bundleRegionCost  = 100 * time.Millisecond
-	bundleLinkCost    = 500 * time.Millisecond
-	regionShare       = 0.08
-	linkShare         = 0.2
-	bundleRegionShare = 0.3
-	bundleLinkShare   = 0.6
+	regionCost       = 4 * time.Millisecond
+	linkCost         = 90 * time.Millisecond
+	largeRegionCost  = 100 * time.Millisecond
+	largeLinkCost    = 500 * time.Millisecond
+	regionShare      = 0.08
+	linkShare        = 0.2
+	largeRegionShare = 0.3
+	largeLinkShare   = 0.6
 )
 
 const (
@@ -230,14 +230,14 @@
 // distanceCost returns the cost of the distance of an upstream in expected time.
 func (exc *exchange) distanceCost(far distance) time.Duration {
 	least, share := time.Duration(0), 0.0
-	bundle := exc.route.GetKind() == fpstate.Kind_KIND_BUNDLE
+	large := exc.large()
 	switch {
-	case far == sameRegion && bundle:
-		least, share = bundleRegionCost, bundleRegionShare
+	case far == sameRegion && large:
+		least, share = largeRegionCost, largeRegionShare
 	case far == sameRegion:
 		least, share = regionCost, regionShare
-	case far == otherRegion && bundle:
-		least, share = bundleLinkCost, bundleLinkShare
+	case far == otherRegion && large:
+		least, share = largeLinkCost, largeLinkShare
 	case far == otherRegion:
 		least, share = linkCost, linkShare
 	}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -1,9 +1,7 @@
 package fpforward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,8 +13,6 @@
 )
 
 const (
-	// keptBody is the size in bytes up to which a request's body is kept, so that it can be sent again.
-	keptBody = 128 << 10
 	// keptAnswer is the size in bytes up to which an answer is read to its end before the caller gets any of it, so that
 	// a broken one can be replaced.
 	keptAnswer = 1 << 20
@@ -45,9 +41,11 @@
 	lower bool
 	// returned states that the caller has come back after a refusal.
 	returned bool
-	body     []byte
+	// bodyLimit is the size in bytes that the body may have; 0 means that there is no limit.
+	bodyLimit int64
+	body      []byte
 	// rest is what follows body, or nil.
-	rest io.Reader
+	rest *restBody
 
 	tried     map[*member]bool
 	refusedBy map[uint64]bool // fences whose holder has refused the request
@@ -104,6 +102,12 @@
 	}
 	ctx, cancel := context.WithDeadline(req.Context(), exc.deadline)
 	defer cancel()
+	free, err := exc.readBody(ctx, exc.bodyLimit)
+	if err != nil {
+		exc.fail(err)
+		return
+	}
+	defer free()
 	leave, err := exc.enterBundle(ctx)
 	if err != nil {
 		exc.fail(exc.final(ctx, err))
@@ -113,7 +117,7 @@
 	exc.serve(ctx)
 }
 
-// prepare finds the route and reads the body.
+// prepare finds the route.
 func (exc *exchange) prepare() error {
 	vie := exc.fwd.view.Load()
 	if vie.table == nil {
@@ -140,27 +144,7 @@
 	if exc.keyed {
 		exc.fwd.load.key(exc.service, exc.info.Key)
 	}
-	return exc.readBody(vie.table.Configuration().GetLimits().GetMaxBodyBytes())
-}
-
-func (exc *exchange) readBody(limit uint64) error {
-	if exc.request.Body == nil || exc.request.Body == http.NoBody {
-		return nil
-	}
-	if limit > 0 && exc.request.ContentLength > int64(limit) {
-		return fperror.New(fperror.TooLarge, "the body has %d bytes; the limit is %d", exc.request.ContentLength, limit)
-	}
-	buf, err := io.ReadAll(io.LimitReader(exc.request.Body, keptBody+1))
-	if err != nil {
-		return fperror.Wrap(fperror.CallerCanceled, err, "read the body")
-	}
-	exc.body = buf
-	if len(buf) > keptBody {
-		exc.rest = exc.request.Body
-		if limit > 0 {
-			exc.rest = http.MaxBytesReader(exc.writer, exc.request.Body, int64(limit)-int64(len(buf)))
-		}
-	}
+	exc.bodyLimit = int64(vie.table.Configuration().GetLimits().GetMaxBodyBytes())
 	return nil
 }
 
@@ -227,7 +211,7 @@
 	if fperror.Is(err, fperror.Overloaded) && exc.keyed {
 		return false
 	}
-	if exc.rest != nil || exc.full || exc.connects >= maxConnects || exc.arrivals >= maxArrivals {
+	if exc.rest.sent() || exc.full || exc.connects >= maxConnects || exc.arrivals >= maxArrivals {
 		return false
 	}
 	if fperror.KindOf(err).Answer().Outcome() == fperror.NotRun {
@@ -336,18 +320,7 @@
 		// The transport would add one of its own.
 		out.Header["User-Agent"] = nil
 	}
-	out.TransferEncoding = nil
-	out.Trailer = nil
-	switch {
-	case exc.rest != nil:
-		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(exc.body), exc.rest))
-	case len(exc.body) > 0:
-		out.Body = io.NopCloser(bytes.NewReader(exc.body))
-		out.ContentLength = int64(len(exc.body))
-	default:
-		out.Body = http.NoBody
-		out.ContentLength = 0
-	}
+	exc.setBody(ctx, out)
 	return out
 }
 
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fproute"
@@ -31,7 +32,9 @@
 	Promises fpgateway.Promises
 	// Link is the rate of the VM's link in bytes per second; 0 means that it is not known.
 	Link float64
-	Log  *zap.Logger
+	// Memory is that of the process in bytes; 0 means that it is not limited.
+	Memory int64
+	Log    *zap.Logger
 }
 
 // Forwarder is an http.Handler. Use New to create one.
@@ -45,7 +48,9 @@
 	ranks    ranks
 	waits    waits
 	// bundles holds a place for each bundle that may be in flight.
-	bundles  chan struct{}
+	bundles chan struct{}
+	// bodies is the memory for kept bodies, in bytes.
+	bodies   *semaphore.Weighted
 	pacers   pacers
 	stopping atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
@@ -87,6 +92,7 @@
 		started: time.Now(),
 		changed: make(chan struct{}),
 		bundles: make(chan struct{}, bundlePlaces(cfg.Link)),
+		bodies:  semaphore.NewWeighted(bodyMemory(cfg.Memory)),
 		pacers:  newPacers(cfg.Link),
 		members: map[life]*member{},
 		budgets: map[string]*budget{},
--- a/internal/route/fpforward/forwarder_test.go
+++ b/internal/route/fpforward/forwarder_test.go
@@ -33,20 +33,25 @@
 }
 
 // newSite returns a forwarder with one route of each kind to the service "work", and of one to the keyed service "keys".
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteWith(t, func(*Config) {}) }
+
+// newSiteWith returns the same with another configuration of the forwarder.
+func newSiteWith(t *testing.T, adjust func(cfg *Config)) *site {
+	cfg := Config{
+		DataCentre: "east-1",
+		Region:     func(string) string { return "east" },
+		Promises: fpgateway.Promises{
+			RetryShare:  0.2,
+			RetryExtra:  50,
+			RetryWindow: 10 * time.Second,
+		},
+		Log: zap.NewNop(),
+	}
+	adjust(&cfg)
 	sit := &site{
-		t:    t,
-		work: 5 * time.Millisecond,
-		forward: New(Config{
-			DataCentre: "east-1",
-			Region:     func(string) string { return "east" },
-			Promises: fpgateway.Promises{
-				RetryShare:  0.2,
-				RetryExtra:  50,
-				RetryWindow: 10 * time.Second,
-			},
-			Log: zap.NewNop(),
-		}),
+		t:       t,
+		work:    5 * time.Millisecond,
+		forward: New(cfg),
 	}
 	sit.server = httptest.NewServer(sit.forward)
 	t.Cleanup(sit.server.Close)
@@ -71,6 +76,7 @@
 			Routes: []*fpstate.Route{
 				route("safe", "work", fpstate.Kind_KIND_IDEMPOTENT),
 				route("once", "work", fpstate.Kind_KIND_ONCE),
+				route("upload", "work", fpstate.Kind_KIND_UPLOAD),
 				route("keyed", "keys", fpstate.Kind_KIND_IDEMPOTENT),
 			},
 			Services: []*fpstate.Service{
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		crashed := lin.Crashed()
 		lin.Close()
+		if failure := exc.rest.failure(); failure != nil {
+			return nil, failure
+		}
 		if ctx.Err() != nil {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "no answer of upstream %s in time", mem.upstream.GetId())
 		}
@@ -82,7 +85,7 @@
 	body, err := io.ReadAll(io.LimitReader(from, int64(kept)+1))
 	if err != nil {
 		lin.Close()
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return fperror.Wrap(fperror.OutcomeUnknown, err, "the answer of upstream %s did not end in time", mem.upstream.GetId())
 		}
 		return fperror.Wrap(fperror.AnswerTruncated, err, "the answer of upstream %s broke off after %d bytes", mem.upstream.GetId(), len(body))
@@ -183,6 +186,10 @@
 		exc.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	exc.leaveConnection()
+	if exc.bodyUnread() {
+		// The server would read more of the body before it answers.
+		exc.writer.Header().Set("Connection", "close")
+	}
 	exc.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	exc.writer.WriteHeader(status)
 	_, _ = io.WriteString(exc.writer, kin.String()+"\n") // a caller that has left needs no answer
--- /dev/null
+++ b/internal/route/fpforward/upload_test.go
@@ -0,0 +1,461 @@
+package fpforward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
+)
+
+// join makes an upstream of a service known that the test serves itself.
+func (sit *site) join(id, address string) {
+	sit.update(&fpstate.State{
+		Upstreams: []*fpstate.Upstream{{
+			Id:          id,
+			Born:        1,
+			Service:     "work",
+			Address:     address,
+			DataCentre:  "east-1",
+			Concurrency: 64,
+		}},
+	})
+}
+
+// handle adds an upstream with a handler.
+func (sit *site) handle(id string, handle func(wri http.ResponseWriter, req *http.Request)) {
+	srv := httptest.NewServer(http.HandlerFunc(handle))
+	sit.t.Cleanup(srv.Close)
+	sit.join(id, srv.Listener.Addr().String())
+}
+
+// signed writes the headers of an upstream's own answer.
+func signed(wri http.ResponseWriter, req *http.Request) {
+	platform.EncodeAnswer(wri.Header(), platform.Answer{
+		Attempt: platform.DecodeRequest(req.Header).Attempt,
+		Signed:  true,
+	})
+}
+
+// upload sends a body and returns the status, or 0 without an answer.
+func (sit *site) upload(ctx context.Context, body io.Reader) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, sit.server.URL+"/upload/1", body)
+	if err != nil {
+		sit.t.Error(err)
+		return 0
+	}
+	platform.EncodeRequest(req.Header, platform.Request{
+		Attempt: fmt.Sprintf("upload-%d", sit.serial.Add(1)),
+		Wait:    2 * time.Second,
+	})
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close() // the status is all that counts
+	return res.StatusCode
+}
+
+// TestUploadRunsOnce guards against an upload that runs a second time after its answer was lost.
+func TestUploadRunsOnce(t *testing.T) {
+	sit := newSite(t)
+	sit.work = defaultTime
+	for range 2 {
+		sit.add("work", always(fpworker.Reset))
+	}
+	got := sit.call("/upload/1", platform.Request{})
+	if got.status != http.StatusBadGateway || sit.runs() != 1 {
+		t.Errorf("got status %d after %d runs, want %d after one", got.status, sit.runs(), http.StatusBadGateway)
+	}
+}
+
+// TestUploadIsSentAgain guards against an upload that is given up though the upstream that got it did not run it and all of it is
+// still kept.
+func TestUploadIsSentAgain(t *testing.T) {
+	sit := newSite(t)
+	var mutex sync.Mutex
+	var seen []int
+	handle := func(wri http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		mutex.Lock()
+		seen = append(seen, len(body))
+		first := len(seen) == 1
+		mutex.Unlock()
+		if first || err != nil {
+			platform.EncodeAnswer(wri.Header(), platform.Answer{
+				Attempt: platform.DecodeRequest(req.Header).Attempt,
+				NotRun:  true,
+			})
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		signed(wri, req)
+	}
+	sit.handle("one", handle)
+	sit.handle("two", handle)
+	const size = 700 << 10
+	if status := sit.upload(t.Context(), bytes.NewReader(make([]byte, size))); status != http.StatusOK {
+		t.Errorf("got status %d", status)
+	}
+	if len(seen) != 2 || seen[1] != size {
+		t.Errorf("the upstreams saw bodies of %v bytes, want %d twice", seen, size)
+	}
+}
+
+// slowBody is a body that arrives in two pieces with a pause between them.
+type slowBody struct {
+	ctx   context.Context
+	first int
+	rest  int
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (bod *slowBody) Read(buf []byte) (int, error) {
+	if bod.first == 0 {
+		select {
+		case <-time.After(bod.pause):
+		case <-bod.ctx.Done():
+			return 0, bod.ctx.Err()
+		}
+		bod.first, bod.rest, bod.pause = bod.rest, 0, 0
+	}
+	if bod.first == 0 {
+		return 0, io.EOF
+	}
+	num := min(len(buf), bod.first)
+	bod.first -= num
+	return num, nil
+}
+
+// TestSlowSender guards against a slow sender that takes a place at an upstream while its body arrives.
+func TestSlowSender(t *testing.T) {
+	sit := newSite(t)
+	var arrived atomic.Bool
+	sit.handle("one", func(wri http.ResponseWriter, req *http.Request) {
+		arrived.Store(true)
+		signed(wri, req)
+	})
+	done := make(chan int, 1)
+	go func() {
+		done <- sit.upload(t.Context(), &slowBody{
+			ctx:   t.Context(),
+			first: 100 << 10,
+			rest:  100 << 10,
+			pause: 300 * time.Millisecond,
+		})
+	}()
+	time.Sleep(150 * time.Millisecond)
+	if arrived.Load() {
+		t.Error("the request reached the upstream before its body was there")
+	}
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("got status %d", status)
+	}
+}
+
+// TestSenderWithoutEnd guards against a request that is held beyond its time because its body never ends.
+func TestSenderWithoutEnd(t *testing.T) {
+	sit := newSite(t)
+	sit.handle("one", signed)
+	began := time.Now()
+	status := sit.upload(t.Context(), &slowBody{
+		ctx:   t.Context(),
+		first: 10,
+		rest:  10,
+		pause: 10 * time.Second,
+	})
+	const wait, slack = 2 * time.Second, 250 * time.Millisecond
+	if took := time.Since(began); status != http.StatusServiceUnavailable || took > wait+slack {
+		t.Errorf("got status %d after %v, want %d, which says that it did not run, after %v", status, took, http.StatusServiceUnavailable, wait)
+	}
+}
+
+// TestMemoryOfUploads guards against uploads of slow senders that use up the memory of an entry VM: what is not kept waits at the
+// sender, and what finds no room is refused as not run.
+func TestMemoryOfUploads(t *testing.T) {
+	const (
+		process = 184 << 20
+		senders = 30
+		size    = 8 << 20
+	)
+	sit := newSiteWith(t, func(cfg *Config) { cfg.Memory = process })
+	sit.handle("one", func(wri http.ResponseWriter, req *http.Request) {
+		// The upstream is slower than the senders.
+		buf := make([]byte, 64<<10)
+		for {
+			if _, err := req.Body.Read(buf); err != nil {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		signed(wri, req)
+	})
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	var senderGroup sync.WaitGroup
+	statuses := make([]int, senders)
+	for num := range senders {
+		senderGroup.Go(func() {
+			statuses[num] = sit.upload(ctx, &slowBody{
+				ctx:   ctx,
+				first: size / 2,
+				rest:  size / 2,
+				pause: time.Second,
+			})
+		})
+	}
+	most := uint64(0)
+	for range 20 {
+		time.Sleep(50 * time.Millisecond)
+		var now runtime.MemStats
+		runtime.ReadMemStats(&now)
+		most = max(most, now.HeapAlloc-min(now.HeapAlloc, before.HeapAlloc))
+	}
+	cancel()
+	senderGroup.Wait()
+	if most > process/2 {
+		t.Errorf("the heap grew by %d MiB, want at most half of the %d MiB of the process", most>>20, process>>20)
+	}
+	refused := 0
+	for _, status := range statuses {
+		if status == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	if kept := int(bodyMemory(process) / keptUpload); refused < senders-kept {
+		t.Errorf("%d of %d uploads were refused as not run, want all but the %d for which there is memory", refused, senders, kept)
+	}
+}
+
+// conversation is an upstream that answers the first request on each connection before it has read the body, and keeps all bytes
+// that come.
+type conversation struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	seen     []*bytes.Buffer
+}
+
+func (cov *conversation) serve() {
+	for {
+		con, err := cov.listener.Accept()
+		if err != nil {
+			return
+		}
+		buf := &bytes.Buffer{}
+		cov.mutex.Lock()
+		cov.seen = append(cov.seen, buf)
+		cov.mutex.Unlock()
+		go cov.talk(con, buf)
+	}
+}
+
+func (cov *conversation) talk(con net.Conn, buf *bytes.Buffer) {
+	defer func() { _ = con.Close() }()
+	red := bufio.NewReader(io.TeeReader(con, buf))
+	for {
+		req, err := http.ReadRequest(red)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: %s\r\nFoxtailpulley-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+			platform.DecodeRequest(req.Header).Attempt)
+		time.Sleep(100 * time.Millisecond) // the answer arrives long before the rest is read
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+	}
+}
+
+// TestEarlyAnswerToUpload guards against other bytes where an upstream that has answered early expects the rest of a body, and
+// against an answer that waits until the body has been sent.
+func TestEarlyAnswerToUpload(t *testing.T) {
+	for _, size := range []int{200 << 10, 1 << 20, 9 << 20} {
+		t.Run(fmt.Sprintf("%d KiB", size>>10), func(t *testing.T) {
+			sit := newSite(t)
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			cov := &conversation{
+				listener: lis,
+			}
+			go cov.serve()
+			t.Cleanup(func() { _ = lis.Close() })
+			sit.join("one", lis.Addr().String())
+			for range 6 {
+				if status := sit.upload(t.Context(), bytes.NewReader(bytes.Repeat([]byte("u"), size))); status != http.StatusOK && size <= keptUpload {
+					t.Errorf("got status %d", status)
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+			cov.mutex.Lock()
+			defer cov.mutex.Unlock()
+			for num, buf := range cov.seen {
+				checkWhole(t, num, buf.Bytes(), size)
+			}
+		})
+	}
+}
+
+// checkWhole fails if a connection carried anything but requests with whole bodies, of which the last may break off.
+func checkWhole(t *testing.T, num int, seen []byte, size int) {
+	t.Helper()
+	red := bufio.NewReader(bytes.NewReader(seen))
+	for {
+		req, err := http.ReadRequest(red)
+		if err == io.EOF || err == io.ErrUnexpectedEOF {
+			return
+		}
+		if err != nil {
+			t.Errorf("connection %d carries something else than a request: %v", num, err)
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return // it broke off
+		}
+		if len(body) != size || strings.Trim(string(body), "u") != "" {
+			t.Errorf("connection %d carries a body of %d bytes that is not the caller's", num, len(body))
+		}
+	}
+}
+
+// TestBrokenUploads guards against an upload that its caller does not end properly and that is answered as if the upstream had
+// failed, held, or sent on as if it were whole.
+func TestBrokenUploads(t *testing.T) {
+	const length = 3 << 20
+	for name, test := range map[string]struct {
+		head, body string
+		halfClose  bool
+		want       string
+	}{
+		"too long by its length": {
+			head: "Content-Length: 99999999\r\n",
+			want: "413",
+		},
+		"too long in chunks": {
+			head: "Transfer-Encoding: chunked\r\n",
+			body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", length, strings.Repeat("x", length)),
+			want: "413",
+		},
+		"wrong chunk": {
+			head: "Transfer-Encoding: chunked\r\n",
+			body: "5\r\nhello\r\nzz\r\n",
+			want: "400",
+		},
+		"wrong chunk behind what is kept": {
+			head: "Transfer-Encoding: chunked\r\n",
+			body: fmt.Sprintf("%x\r\n%s\r\nzz\r\n", keptUpload+4096, strings.Repeat("x", keptUpload+4096)),
+			want: "400",
+		},
+		"two lengths": {
+			head: "Content-Length: 5\r\nContent-Length: 6\r\n",
+			body: "hello!",
+			want: "400",
+		},
+		"ends halfway": {
+			head:      "Content-Length: 500000\r\n",
+			body:      strings.Repeat("x", 1000),
+			halfClose: true,
+			want:      "400",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sit := newSite(t)
+			sit.update(&fpstate.State{
+				Configuration: withBodyLimit(sit.forward.Configuration(), 2<<20),
+			})
+			var whole atomic.Int64
+			sit.handle("one", func(wri http.ResponseWriter, req *http.Request) {
+				if _, err := io.Copy(io.Discard, req.Body); err == nil {
+					whole.Add(1)
+				}
+				signed(wri, req)
+			})
+			con, err := net.Dial("tcp", sit.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = con.Close() }()
+			go func() {
+				// An early answer may end the connection before all is written.
+				_, _ = fmt.Fprintf(con, "POST /upload/1 HTTP/1.1\r\nHost: 127.0.0.1\r\n%s\r\n%s", test.head, test.body)
+				if test.halfClose {
+					_ = con.(*net.TCPConn).CloseWrite()
+				}
+			}()
+			_ = con.SetReadDeadline(time.Now().Add(3 * time.Second)) // a read without an answer fails below
+			line, err := bufio.NewReader(con).ReadString('\n')
+			if !strings.HasPrefix(line, "HTTP/1.1 "+test.want) {
+				t.Errorf("got %q, error %v, want status %s", line, err, test.want)
+			}
+			if whole.Load() != 0 {
+				t.Error("the upstream got a body as whole that its caller had not ended")
+			}
+		})
+	}
+}
+
+func withBodyLimit(cfg *fpstate.Configuration, limit uint64) *fpstate.Configuration {
+	return &fpstate.Configuration{
+		Revision: cfg.GetRevision() + 1,
+		Routes:   cfg.GetRoutes(),
+		Services: cfg.GetServices(),
+		Limits: &fpstate.Limits{
+			MaxBodyBytes: limit,
+		},
+	}
+}
+
+// TestRefusedBeforeTheBody guards against a caller that has to send a long body before it hears that nothing can take it, and
+// that is asked to go on with it.
+func TestRefusedBeforeTheBody(t *testing.T) {
+	sit := newSite(t) // there is no upstream
+	con, err := net.Dial("tcp", sit.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	_ = con.SetReadDeadline(time.Now().Add(time.Second)) // a read without an answer fails below
+	fmt.Fprintf(con, "POST /upload/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nExpect: 100-continue\r\nContent-Length: 200000\r\n\r\n")
+	line, err := bufio.NewReader(con).ReadString('\n')
+	if !strings.HasPrefix(line, "HTTP/1.1 503") {
+		t.Errorf("got %q, error %v, want status 503 at once", line, err)
+	}
+}
+
+// TestUploadsOnThinLink guards against uploads that fill a thin link, behind which small requests and the calls between VMs
+// come too late.
+func TestUploadsOnThinLink(t *testing.T) {
+	const link, size = 4e6, 1 << 20 // bytes per second, bytes
+	sit := newSiteWith(t, func(cfg *Config) { cfg.Link = link })
+	sit.handle("one", func(wri http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // a failure shows in the answer
+		signed(wri, req)
+	})
+	began := time.Now()
+	if status := sit.upload(t.Context(), bytes.NewReader(make([]byte, size))); status != http.StatusOK {
+		t.Errorf("got status %d", status)
+	}
+	least := time.Duration(float64(size-pacedBurst) / (pacedShare * link) * float64(time.Second))
+	if took := time.Since(began); took < least {
+		t.Errorf("%d bytes passed in %v, want at least %v", size, took, least)
+	}
+}
