fpgate, fpforward: begin further requests before their turn, and stop without cutting requests that arrive

Each change of the limits left a server. Ruled out: longer waits before the shutdown; new connections come until the load balancer has asked twice, and a request that is being read would still be dropped. Change: callerConn finds further requests without a body that follow each other without a gap, and the forwarder begins those that may repeat; their answers go out at their turn. A stop serves every request that has begun to arrive, closes what is idle, and accepts what waits in the listener. Servers end with their limits.

--- a/internal/node/fpgate/caller.go
+++ b/internal/node/fpgate/caller.go
@@ -3,79 +3,102 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
 )
 
 const (
 	// aheadBytes bounds what is read of further requests while one is in progress. A caller that sends more waits.
 	aheadBytes = 8 << 10
+	// mostAhead bounds the further requests of a connection that are begun before their turn.
+	mostAhead = 8
+	// firstRequestTime is how long a VM that stops waits for the first request on a connection that it has accepted.
+	firstRequestTime = time.Second
 	// lingerTime is how long the end of a connection waits for the caller to read the last answer, when the caller has sent
 	// further requests. Closing at once would reset the connection and drop the answer.
 	lingerTime = 300 * time.Millisecond
 )
 
 // callerConn is the connection of a caller that may send further requests before the first is answered. The HTTP server stops
-// looking for the end of the connection at the first byte of a further request; from there on, this type reads on and keeps
-// the bytes until the server asks for them.
+// looking for the end of the connection at the first byte of a further request, and reads on only when the turn of that request
+// has come. This type reads on meanwhile, notices when the caller leaves, and begins further requests that can be repeated, so
+// that they do not wait for those before them. Their answers go out in order, because the server writes them.
 type callerConn struct {
 	net.Conn
 	// left is called when the caller has ended the connection.
 	left context.CancelFunc
+	// closed is called when this VM has closed the connection.
+	closed func()
+	// early begins a request before its turn, or returns nil if that has to wait. Nil: none is begun.
+	early func(req *http.Request, arrived time.Time) *fpforward.Early
 
 	mutex    sync.Mutex
-	deadline time.Time     // of the server's reads
-	ahead    []byte        // was read ahead of the server
-	err      error         // ended the connection, after ahead
+	state    http.ConnState
+	since    time.Time // of the state
+	deadline time.Time // of the server's reads
+	requests requests
+	err      error         // ended the connection, behind the bytes in requests
 	reading  chan struct{} // is closed when the read ahead in progress has ended, or nil
-	// further states that the caller has sent a request whose turn has not come.
-	further bool
-	arrival arrival
+	begun    []*fpforward.Early
 }
 
-// arrival tells when the bytes of requests were read.
-type arrival struct {
-	// ahead is when the first bytes were read while a request was in progress, or zero.
-	ahead time.Time
-	// fresh states that bytes were read while no request was in progress.
-	fresh bool
-	// last is the arrival of the last request.
-	last time.Time
+// newCallerConn returns a connection whose owner sets left and early before the first read.
+func newCallerConn(con net.Conn) *callerConn {
+	return &callerConn{
+		Conn:   con,
+		left:   func() {},
+		closed: func() {},
+		since:  time.Now(),
+	}
 }
 
-// next returns when the next request was read.
-func (arr *arrival) next(now time.Time) time.Time {
-	at := now
-	switch {
-	case !arr.ahead.IsZero():
-		at = arr.ahead
-	case !arr.fresh && !arr.last.IsZero():
-		// It came together with the one before it.
-		at = arr.last
-	}
-	*arr = arrival{
-		last: at,
+// setState notes the state that the server gives the connection.
+func (con *callerConn) setState(now time.Time, sta http.ConnState) {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	con.state, con.since = sta, now
+}
+
+// endIdle lets the server end the connection if no request is in progress and none has begun to arrive. What arrives at the same
+// moment is read.
+func (con *callerConn) endIdle(now time.Time) {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	idle := con.state == http.StateIdle || con.state == http.StateNew && now.Sub(con.since) > firstRequestTime
+	if idle && len(con.requests.buf) == 0 && con.reading == nil {
+		_ = con.Conn.SetReadDeadline(now) // one that has ended is removed by its server
 	}
-	return at
 }
 
-// newCallerConn returns a connection whose owner sets left before the first read.
-func newCallerConn(con net.Conn) *callerConn {
-	return &callerConn{
-		Conn: con,
-		left: func() {},
+// turn takes the turn of a request.
+func (con *callerConn) turn(req *http.Request) fpforward.Turn {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	hasBody := req.Body != nil && req.Body != http.NoBody
+	tur := fpforward.Turn{
+		Arrived: con.requests.begin(time.Now(), hasBody),
+		Behind:  con.behind,
 	}
+	if len(con.begun) > 0 {
+		tur.Early, con.begun = con.begun[0], con.begun[1:]
+	} else {
+		// What stood before this request has got its turn, so that looking ahead may go on behind it.
+		con.requests.stopped = false
+	}
+	return tur
 }
 
-// arrived returns when the request that begins was read. It may be called once for each request.
-func (con *callerConn) arrived() time.Time {
+// behind reports whether a further request has been begun.
+func (con *callerConn) behind() bool {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
-	con.further = len(con.ahead) > 0
-	return con.arrival.next(time.Now())
+	return len(con.begun) > 0
 }
 
 // Read implements net.Conn. While a request is in progress the server reads a single byte, which shows that another request
@@ -83,10 +106,9 @@
 func (con *callerConn) Read(buf []byte) (int, error) {
 	con.stopReadingAhead()
 	con.mutex.Lock()
-	if len(con.ahead) > 0 {
-		num := copy(buf, con.ahead)
-		con.ahead = con.ahead[num:]
-		con.mutex.Unlock()
+	if con.requests.waiting() > 0 {
+		defer con.mutex.Unlock()
+		num := con.requests.give(buf)
 		con.watch(buf)
 		return num, nil
 	}
@@ -96,28 +118,28 @@
 		return 0, err
 	}
 	num, err := con.Conn.Read(buf)
-	if num > 0 {
-		con.mutex.Lock()
-		if len(buf) > 1 {
-			con.arrival.fresh = true
-		} else if con.arrival.ahead.IsZero() {
-			con.arrival.ahead = time.Now()
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	if num > 0 && !con.requests.lost {
+		con.requests.add(buf[:num], time.Now())
+		num = con.requests.give(buf[:num])
+		if con.requests.waiting() > 0 && err != nil {
+			con.err, err = err, nil // it comes behind what waits
 		}
-		con.mutex.Unlock()
+	}
+	if num > 0 {
 		con.watch(buf)
 	}
 	return num, err
 }
 
-// watch begins to read ahead after a read of a single byte.
+// watch begins to read ahead after a read of a single byte. The caller holds the mutex.
 func (con *callerConn) watch(buf []byte) {
 	if len(buf) != 1 {
 		return
 	}
-	con.mutex.Lock()
-	defer con.mutex.Unlock()
-	con.further = true
-	if con.err != nil || len(con.ahead) >= aheadBytes {
+	con.beginEarly()
+	if con.err != nil || con.requests.waiting() >= aheadBytes {
 		return
 	}
 	reading := make(chan struct{})
@@ -131,14 +153,15 @@
 	buf := make([]byte, aheadBytes)
 	for {
 		con.mutex.Lock()
-		room := aheadBytes - len(con.ahead)
+		room := aheadBytes - con.requests.waiting()
 		con.mutex.Unlock()
 		if room <= 0 {
 			return
 		}
 		num, err := con.Conn.Read(buf[:room])
 		con.mutex.Lock()
-		con.ahead = append(con.ahead, buf[:num]...)
+		con.requests.add(buf[:num], time.Now())
+		con.beginEarly()
 		ended := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 		if ended {
 			con.err = err
@@ -153,6 +176,23 @@
 	}
 }
 
+// beginEarly begins the further requests that can be. The caller holds the mutex.
+func (con *callerConn) beginEarly() {
+	for con.early != nil && len(con.begun) < mostAhead {
+		req, arrived := con.requests.next()
+		if req == nil {
+			return
+		}
+		ear := con.early(req, arrived)
+		if ear == nil {
+			// Later requests keep their place behind this one.
+			con.requests.stopped = true
+			return
+		}
+		con.begun = append(con.begun, ear)
+	}
+}
+
 // stopReadingAhead ends the read ahead in progress, if there is one.
 func (con *callerConn) stopReadingAhead() {
 	con.mutex.Lock()
@@ -191,9 +231,15 @@
 
 // Close implements net.Conn. It waits a little when requests that nobody will read may be under way.
 func (con *callerConn) Close() error {
+	defer con.closed()
 	con.mutex.Lock()
-	linger := con.further && con.err == nil
+	linger := len(con.requests.buf) > 0 && !con.requests.lost && con.err == nil
+	begun := con.begun
+	con.begun = nil
 	con.mutex.Unlock()
+	for _, ear := range begun {
+		ear.Drop()
+	}
 	if !linger {
 		return con.Conn.Close()
 	}
--- a/internal/node/fpgate/caller_test.go
+++ b/internal/node/fpgate/caller_test.go
@@ -17,13 +17,16 @@
 
 // pipeline is a caller's connection to servers whose handler is in the hands of the test.
 type pipeline struct {
-	t      *testing.T
-	con    net.Conn
-	reader *bufio.Reader
-	mutex  sync.Mutex
-	begun  []string
+	t       *testing.T
+	servers *servers
+	con     net.Conn
+	reader  *bufio.Reader
+	mutex   sync.Mutex
+	begun   []string
 	// started receives the path of each request that begins.
 	started chan string
+	// waits holds how long each request waited for its turn.
+	waits []time.Duration
 }
 
 // newPipeline serves requests with a handler.
@@ -37,12 +40,14 @@
 		started: make(chan string, 64),
 	}
 	srv := newServers(lis, http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		pip.takeTurn(req)
 		pip.mutex.Lock()
 		pip.begun = append(pip.begun, req.URL.Path)
 		pip.mutex.Unlock()
 		pip.started <- req.URL.Path
 		handle(wri, req)
 	}))
+	pip.servers = srv
 	ended := make(chan error, 1)
 	go func() { ended <- srv.serve() }()
 	pip.con, err = net.Dial("tcp", lis.Addr().String())
@@ -62,6 +67,14 @@
 	return pip
 }
 
+// takeTurn takes the turn of a request as the forwarder does.
+func (pip *pipeline) takeTurn(req *http.Request) {
+	wait := time.Since(fpforward.TurnOf(req).Arrived)
+	pip.mutex.Lock()
+	defer pip.mutex.Unlock()
+	pip.waits = append(pip.waits, wait)
+}
+
 // send writes requests at once.
 func (pip *pipeline) send(paths ...string) {
 	pip.t.Helper()
@@ -195,11 +208,7 @@
 // TestArrival guards against a request that waits behind another and gets its whole time anew when its turn comes.
 func TestArrival(t *testing.T) {
 	const work = 60 * time.Millisecond
-	var waits []time.Duration
-	pip := newPipeline(t, func(_ http.ResponseWriter, req *http.Request) {
-		waits = append(waits, time.Since(fpforward.ArrivalOf(req.Context())))
-		time.Sleep(work)
-	})
+	pip := newPipeline(t, func(http.ResponseWriter, *http.Request) { time.Sleep(work) })
 	pip.send("/1", "/2")
 	for range 2 {
 		pip.answer()
@@ -211,7 +220,7 @@
 		pip.answer()
 	}
 	for num, want := range []time.Duration{0, work, 0, work / 2} {
-		if got := waits[num]; got < want-work/6 || got > want+work/3 {
+		if got := pip.waits[num]; got < want-work/6 || got > want+work/3 {
 			t.Errorf("request %d waited %v for its turn, want about %v", num+1, got, want)
 		}
 	}
--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -93,6 +93,7 @@
 		IdleTimeout:       defaultIdleTimeout,
 	}
 	gat.servers = newServers(callers, gat.forwarder)
+	gat.servers.early = gat.forwarder.Begin
 	failed := make(chan error, 2)
 	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- gat.servers.serve() }()
--- /dev/null
+++ b/internal/node/fpgate/servers_test.go
@@ -0,0 +1,88 @@
+package fpgate
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+)
+
+// TestStopWhileRequestArrives guards against a request that is cut off without an answer because it was being read when the VM
+// began to close connections: on a connection that was just accepted, and in the middle of a header.
+func TestStopWhileRequestArrives(t *testing.T) {
+	for name, first := range map[string]string{
+		"accepted":         "",
+		"half of a header": "GET /1 HT",
+	} {
+		t.Run(name, func(t *testing.T) {
+			pip := newPipeline(t, func(wri http.ResponseWriter, _ *http.Request) {
+				wri.Header().Set("Connection", "close")
+				_, _ = io.WriteString(wri, "whole") // a failure shows in the answer
+			})
+			if _, err := io.WriteString(pip.con, first); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- pip.servers.shutdown(ctx) }()
+			time.Sleep(200 * time.Millisecond)
+			const whole = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+			if _, err := io.WriteString(pip.con, whole[len(first):]); err != nil {
+				t.Fatal(err)
+			}
+			if _, got := pip.answer(); got != "whole" {
+				t.Errorf("got the answer %q", got)
+			}
+			if err := <-stopped; err != nil {
+				t.Errorf("shutdown: %v", err)
+			}
+		})
+	}
+}
+
+// TestStopEndsIdleConnections guards against a stop that waits for callers that send nothing.
+func TestStopEndsIdleConnections(t *testing.T) {
+	pip := newPipeline(t, func(http.ResponseWriter, *http.Request) {})
+	pip.send("/1")
+	pip.answer()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	if err := pip.servers.shutdown(ctx); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
+// TestLimitsChangeOften guards against servers that stay for ever after changes of the limits, and against a connection that is
+// lost between two of them.
+func TestLimitsChangeOften(t *testing.T) {
+	pip := newPipeline(t, func(wri http.ResponseWriter, req *http.Request) { fmt.Fprint(wri, req.URL.Path) })
+	pip.send("/0")
+	pip.answer()
+	time.Sleep(50 * time.Millisecond) // the connection is idle
+	before := runtime.NumGoroutine()
+	const changes = 100
+	for num := range changes {
+		pip.servers.limit(&fpstate.Limits{
+			IdleTimeout: durationpb.New(time.Duration(num+1) * time.Second),
+		})
+	}
+	for end := time.Now().Add(time.Second); runtime.NumGoroutine() > before && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if now := runtime.NumGoroutine(); now > before {
+		t.Errorf("%d goroutines run after %d changes, %d before", now, changes, before)
+	}
+	pip.send("/1")
+	if _, got := pip.answer(); got != "/1" {
+		t.Errorf("got the answer %q", got)
+	}
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -32,7 +32,9 @@
 	info    platform.Request
 	start   time.Time
 	// turn is how long the request waited for the answers to those before it on its connection.
-	turn     time.Duration
+	turn time.Duration
+	// behind reports whether a further request of the connection has been begun; nil: none is.
+	behind   func() bool
 	deadline time.Time
 	route    *fpstate.Route
 	service  string
@@ -60,47 +62,51 @@
 	full bool
 }
 
-// arrivalKey is the key of a context's value that returns when the request was read.
-type arrivalKey struct{}
-
-// WithArrival returns a context whose requests were read at the times that a function returns, before their turn has come. It
-// is called once for each request.
-func WithArrival(ctx context.Context, arrived func() time.Time) context.Context {
-	return context.WithValue(ctx, arrivalKey{}, arrived)
-}
-
-// ArrivalOf returns when a request was read; without WithArrival it is now.
-func ArrivalOf(ctx context.Context) time.Time {
-	if arrived, ok := ctx.Value(arrivalKey{}).(func() time.Time); ok {
-		return arrived()
-	}
-	return time.Now()
-}
-
-// ServeHTTP serves one request.
-func (fwd *Forwarder) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	exc := &exchange{
+// newExchange returns the exchange of a request that was read at a time.
+func (fwd *Forwarder) newExchange(wri http.ResponseWriter, req *http.Request, arrived time.Time) *exchange {
+	return &exchange{
 		fwd:       fwd,
 		writer:    wri,
 		request:   req,
 		info:      platform.DecodeRequest(req.Header),
-		start:     ArrivalOf(req.Context()),
+		start:     arrived,
 		tried:     map[*member]bool{},
 		refusedBy: map[uint64]bool{},
 	}
-	exc.turn = time.Since(exc.start)
-	fwd.counters.phase("turn", exc.turn)
+}
+
+// ServeHTTP serves one request.
+func (fwd *Forwarder) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
+	tur := TurnOf(req)
+	waited := time.Since(tur.Arrived)
+	fwd.counters.phase("turn", waited)
 	fwd.counters.inFlight.Add(1)
 	defer fwd.counters.inFlight.Add(-1)
+	if ear := tur.Early; ear != nil {
+		if ear.is(req) {
+			ear.exchange.turn, ear.exchange.behind = waited, tur.Behind
+			fwd.counters.add("early")
+			ear.serve(wri, req)
+			return
+		}
+		ear.Drop()
+	}
+	exc := fwd.newExchange(wri, req, tur.Arrived)
+	exc.turn, exc.behind = waited, tur.Behind
+	exc.serve()
+}
+
+// serve serves a request whose turn has come.
+func (exc *exchange) serve() {
 	if err := exc.prepare(); err != nil {
 		exc.fail(err)
 		return
 	}
-	if err := req.Context().Err(); err != nil {
+	if err := exc.request.Context().Err(); err != nil {
 		exc.fail(fperror.Wrap(fperror.CallerCanceled, err, "the caller has left before the turn of its request"))
 		return
 	}
-	ctx, cancel := context.WithDeadline(req.Context(), exc.deadline)
+	ctx, cancel := context.WithDeadline(exc.request.Context(), exc.deadline)
 	defer cancel()
 	free, err := exc.readBody(ctx, exc.bodyLimit)
 	if err != nil {
@@ -114,7 +120,17 @@
 		return
 	}
 	defer leave()
-	exc.serve(ctx)
+	rep, err := exc.resolve(ctx)
+	exc.answer(ctx, rep, err)
+}
+
+// answer passes the outcome of resolve to the caller.
+func (exc *exchange) answer(ctx context.Context, rep *reply, err error) {
+	if err != nil {
+		exc.fail(exc.final(ctx, err))
+		return
+	}
+	exc.deliver(rep)
 }
 
 // prepare finds the route.
@@ -157,8 +173,8 @@
 	return false
 }
 
-// serve sends the request until it is answered, or until no further attempt is allowed.
-func (exc *exchange) serve(ctx context.Context) {
+// resolve sends the request until it is answered, or until no further attempt is allowed.
+func (exc *exchange) resolve(ctx context.Context) (*reply, error) {
 	var failure error
 	for {
 		cho, err := exc.choose(ctx)
@@ -177,8 +193,7 @@
 		}
 		rep, err := exc.attempt(ctx, cho)
 		if err == nil {
-			exc.deliver(rep)
-			return
+			return rep, nil
 		}
 		if failure == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun {
 			failure = err
@@ -188,10 +203,9 @@
 		}
 	}
 	if exc.fallback != nil && ctx.Err() == nil {
-		exc.deliver(exc.fallback)
-		return
+		return exc.fallback, nil
 	}
-	exc.fail(exc.final(ctx, failure))
+	return nil, failure
 }
 
 // final returns the error for the caller when no further attempt is made.
--- a/internal/route/fpforward/upload_test.go
+++ b/internal/route/fpforward/upload_test.go
@@ -249,7 +249,27 @@
 type conversation struct {
 	listener net.Listener
 	mutex    sync.Mutex
-	seen     []*bytes.Buffer
+	seen     []*record
+}
+
+// record keeps what is written to it.
+type record struct {
+	mutex sync.Mutex
+	bytes []byte
+}
+
+// Write implements io.Writer.
+func (rec *record) Write(buf []byte) (int, error) {
+	rec.mutex.Lock()
+	defer rec.mutex.Unlock()
+	rec.bytes = append(rec.bytes, buf...)
+	return len(buf), nil
+}
+
+func (rec *record) copy() []byte {
+	rec.mutex.Lock()
+	defer rec.mutex.Unlock()
+	return bytes.Clone(rec.bytes)
 }
 
 func (cov *conversation) serve() {
@@ -258,7 +278,7 @@
 		if err != nil {
 			return
 		}
-		buf := &bytes.Buffer{}
+		buf := &record{}
 		cov.mutex.Lock()
 		cov.seen = append(cov.seen, buf)
 		cov.mutex.Unlock()
@@ -266,7 +286,7 @@
 	}
 }
 
-func (cov *conversation) talk(con net.Conn, buf *bytes.Buffer) {
+func (cov *conversation) talk(con net.Conn, buf *record) {
 	defer func() { _ = con.Close() }()
 	red := bufio.NewReader(io.TeeReader(con, buf))
 	for {
@@ -308,7 +328,7 @@
 			cov.mutex.Lock()
 			defer cov.mutex.Unlock()
 			for num, buf := range cov.seen {
-				checkWhole(t, num, buf.Bytes(), size)
+				checkWhole(t, num, buf.copy(), size)
 			}
 		})
 	}
