fpforward, fpcontrol: bound what an upstream may send without end, and tell answers to requests from those to orders

Cause: the head of an answer was bounded by the library's 10 MB on each connection, and up to 1 MiB of each body was kept, so that 200 endless answers took more than the 184 MB of an entry VM; the upstream was chosen again at once. A line behind a judged answer with more bytes was never closed. A second answer to a request on a kept connection for orders confirmed the next order. Ruled out: a shorter deadline; the head is read far within it. Change: a head has at most 64 KiB (16 KiB for orders); only as many answers above 64 KiB are kept as an eighth of the memory holds, others are passed on while they come; an answer without a length ends at 16 MiB, but for bundles; the upstream is left alone and probed. A signed answer to an order is none, and the order is doubtful. Lines of the HTTP library go to the structured log. Not mended: a second answer to an order itself, if it comes within the round trip of the next order on its connection, cannot be told from the answer.

--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fplog"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
@@ -174,9 +175,10 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dia.DialContext,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            dia.DialContext,
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: fpconn.MaxAnswerHeader,
 		},
 	}
 }
@@ -243,11 +245,15 @@
 func (con *Control) handler() http.Handler {
 	mux := http.NewServeMux()
 	con.calls.Register(mux)
-	path, han := fpstateconnect.NewStateServiceHandler(con.service, connect.WithCompressMinBytes(compressAbove))
+	path, han := fpstateconnect.NewStateServiceHandler(con.service, connect.WithCompressMinBytes(compressAbove),
+		connect.WithReadMaxBytes(maxPeerMessage))
 	mux.Handle(path, han)
 	return mux
 }
 
+// maxPeerMessage bounds in bytes what another VM may send at once: the whole state, which has some kilobytes for each upstream.
+const maxPeerMessage = 64 << 20
+
 // compressAbove is the size in bytes from which messages between VMs are compressed; smaller ones would cost more
 // processor time than the bytes they save.
 const compressAbove = 2048
@@ -259,7 +265,8 @@
 	cli := con.peers[vm]
 	if cli == nil {
 		cli = fpstateconnect.NewStateServiceClient(con.client, "http://"+vm,
-			connect.WithSendGzip(), connect.WithCompressMinBytes(compressAbove))
+			connect.WithSendGzip(), connect.WithCompressMinBytes(compressAbove),
+			connect.WithReadMaxBytes(maxPeerMessage))
 		con.peers[vm] = cli
 	}
 	return cli
--- a/internal/node/fpcontrol/orders.go
+++ b/internal/node/fpcontrol/orders.go
@@ -25,6 +25,9 @@
 	orderIdle = 2 * fpkeeper.DefaultRenewal
 	// orderConnections is the number of idle connections for grants to one upstream, of which two may be in flight.
 	orderConnections = 2
+	// maxOrderHeader bounds the header of an answer to an order in bytes, which has a few lines. An upstream in trouble may
+	// send bytes without end.
+	maxOrderHeader = 16 << 10
 	// freshFor is how long each order to an upstream has a connection of its own after a kept one has failed. Some
 	// upstreams drop idle connections early.
 	freshFor = 30 * time.Second
@@ -68,9 +71,10 @@
 				}
 				return con, err
 			},
-			DisableKeepAlives:   fresh,
-			IdleConnTimeout:     orderIdle,
-			MaxIdleConnsPerHost: orderConnections,
+			DisableKeepAlives:      fresh,
+			IdleConnTimeout:        orderIdle,
+			MaxIdleConnsPerHost:    orderConnections,
+			MaxResponseHeaderBytes: maxOrderHeader,
 		},
 	}
 }
--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -1,6 +1,8 @@
 package fpcontrol
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -119,3 +121,54 @@
 		t.Errorf("%d new connections for 2 releases, want 2", got)
 	}
 }
+
+// TestLateAnswerToRequest guards against an order that is taken for confirmed because an upstream has sent the answer to a request
+// a second time on the connection: its holder may not have the order, or may take it later.
+func TestLateAnswerToRequest(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	const answer, second = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nFoxtailpulley-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = con.Close() }()
+				red := bufio.NewReader(con)
+				for num := 0; ; num++ {
+					req, err := http.ReadRequest(red)
+					if err != nil {
+						return
+					}
+					_, err = io.Copy(io.Discard, req.Body)
+					text := answer
+					if num > 0 {
+						text = second
+					}
+					if _, errWrite := io.WriteString(con, text); err != nil || errWrite != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	ups := &orderedUpstream{
+		server: &httptest.Server{
+			URL: "http://" + lis.Addr().String(),
+		},
+	}
+	ors := newOrders()
+	if res, err := ors.send(t.Context(), ups.order()); err != nil || res.Doubtful {
+		t.Fatalf("got %+v, %v", res, err)
+	}
+	res, err := ors.send(t.Context(), ups.order())
+	if err != nil || !res.Doubtful {
+		t.Errorf("got %+v, %v, want an order whose first try may take effect later", res, err)
+	}
+}
--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -41,6 +41,7 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log = log.With(zap.String("vm", set.VM()))
+	defer zap.RedirectStdLog(log)() // lines of the HTTP library
 	log.Info("started", zap.Strings("seeds", set.Seeds()), zap.Bool("firstStart", set.FirstStart()))
 	var ends []<-chan error
 	var gat *Gate
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
 )
@@ -86,9 +87,10 @@
 		forwarder:  fwd,
 		client: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dia.DialContext,
-				MaxIdleConnsPerHost: 2,
-				IdleConnTimeout:     time.Minute,
+				DialContext:            dia.DialContext,
+				MaxIdleConnsPerHost:    2,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: fpconn.MaxAnswerHeader,
 			},
 		},
 		margin:  leastMargin,
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -45,9 +45,7 @@
 func (exc *exchange) upload() bool { return exc.route.GetKind() == fpstate.Kind_KIND_UPLOAD }
 
 // large reports whether the request or its answer is expected to be large.
-func (exc *exchange) large() bool {
-	return exc.upload() || exc.route.GetKind() == fpstate.Kind_KIND_BUNDLE
-}
+func (exc *exchange) large() bool { return exc.upload() || exc.bundle() }
 
 // keeps returns the size in bytes up to which the body is kept.
 func (exc *exchange) keeps() int64 {
--- a/internal/route/fpforward/bundle.go
+++ b/internal/route/fpforward/bundle.go
@@ -31,6 +31,9 @@
 	bundleWaitShare = 0.25
 )
 
+// bundle reports whether the answer is expected to be large.
+func (exc *exchange) bundle() bool { return exc.route.GetKind() == fpstate.Kind_KIND_BUNDLE }
+
 // bundlePlaces returns the number of bundles that may be in flight: about a second of the link. More of them would fill the
 // link for so long that small answers and the calls between VMs come too late.
 func bundlePlaces(link float64) int {
@@ -43,7 +46,7 @@
 // enterBundle waits for a place if the request is for a bundle. The function that it returns gives the place back. The error
 // is of kind Overloaded.
 func (exc *exchange) enterBundle(ctx context.Context) (func(), error) {
-	if exc.route.GetKind() != fpstate.Kind_KIND_BUNDLE {
+	if !exc.bundle() {
 		return func() {}, nil
 	}
 	leave := func() { <-exc.fwd.bundles }
@@ -120,6 +123,4 @@
 }
 
 // paced reports whether the request is for a bundle on a thin link.
-func (exc *exchange) paced() bool {
-	return exc.route.GetKind() == fpstate.Kind_KIND_BUNDLE && exc.fwd.pacers.thin()
-}
+func (exc *exchange) paced() bool { return exc.bundle() && exc.fwd.pacers.thin() }
--- /dev/null
+++ b/internal/route/fpforward/endless_test.go
@@ -0,0 +1,161 @@
+package fpforward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/platform"
+)
+
+// endless adds an upstream that answers each request with a start and then with bytes until the connection is closed.
+func (sit *site) endless(id string, start func(attempt string) string, piece string) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		sit.t.Fatal(err)
+	}
+	sit.t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = con.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(con))
+				if err != nil {
+					return
+				}
+				_, err = io.WriteString(con, start(platform.DecodeRequest(req.Header).Attempt))
+				for err == nil {
+					_, err = io.WriteString(con, piece)
+				}
+			}()
+		}
+	}()
+	sit.join(id, lis.Addr().String())
+}
+
+// TestEndlessAnswers guards against bytes without end, in a head or in a body, that use up the memory of an entry VM, reach a
+// caller as a complete answer, or hold a request.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		process = 184 << 20
+		callers = 200
+		wait    = 2 * time.Second
+		slack   = 500 * time.Millisecond
+	)
+	okay := func(headers string) func(attempt string) string {
+		return func(attempt string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: %s\r\nFoxtailpulley-Response-Signature: s\r\n%s", attempt, headers)
+		}
+	}
+	for name, test := range map[string]struct {
+		start func(attempt string) string
+		piece string
+	}{
+		"one header":         {start: okay("X: "), piece: strings.Repeat("x", 4096)},
+		"many headers":       {start: okay(""), piece: "X-More: " + strings.Repeat("x", 1000) + "\r\n"},
+		"no answer":          {start: func(string) string { return "" }, piece: strings.Repeat("\x00", 4096)},
+		"informational":      {start: func(string) string { return "" }, piece: "HTTP/1.1 102 Processing\r\n\r\n"},
+		"chunks":             {start: okay("Transfer-Encoding: chunked\r\n\r\n"), piece: "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		"until the close":    {start: okay("\r\n"), piece: strings.Repeat("x", 4096)},
+		"chunk extensions":   {start: okay("Transfer-Encoding: chunked\r\n\r\n1000;"), piece: strings.Repeat("x", 4096)},
+		"trailers":           {start: okay("Transfer-Encoding: chunked\r\n\r\n0\r\n"), piece: "X-More: " + strings.Repeat("x", 1000) + "\r\n"},
+		"behind the answer":  {start: okay("Content-Length: 2\r\n\r\nok"), piece: strings.Repeat("x", 4096)},
+		"no run, then bytes": {start: func(string) string { return "HTTP/1.1 503 Full\r\nFoxtailpulley-Not-Executed: 1\r\n\r\n" }, piece: strings.Repeat("x", 4096)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sit := newSiteWith(t, func(cfg *Config) { cfg.Memory = process })
+			sit.endless("one", test.start, test.piece)
+			log.SetOutput(io.Discard) // the library writes what comes behind an answer
+			defer log.SetOutput(os.Stderr)
+			var before runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			// The limit of a process on such a VM, so that what is left to collect does not count.
+			defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(before.HeapInuse + process/2)))
+			stop := make(chan struct{})
+			most := make(chan uint64)
+			go func() {
+				peak := uint64(0)
+				for {
+					select {
+					case <-stop:
+						most <- peak
+						return
+					case <-time.After(20 * time.Millisecond):
+					}
+					var now runtime.MemStats
+					runtime.ReadMemStats(&now)
+					peak = max(peak, now.HeapInuse-min(now.HeapInuse, before.HeapInuse))
+				}
+			}()
+			began := time.Now()
+			var group sync.WaitGroup
+			for range callers {
+				group.Go(func() {
+					status, size, err := sit.fetch()
+					if status == http.StatusOK && err == nil && size != 2 {
+						t.Errorf("a caller took %d bytes for a complete answer", size)
+					}
+				})
+			}
+			group.Wait()
+			if took := time.Since(began); took > wait+slack {
+				t.Errorf("the callers were held for %v, want at most %v", took, wait)
+			}
+			close(stop)
+			if peak := <-most; peak > process/2 {
+				t.Errorf("the heap grew by %d MiB, want at most half of the %d MiB of the process", peak>>20, process>>20)
+			}
+		})
+	}
+}
+
+// fetch sends a request and reads the answer without keeping it.
+func (sit *site) fetch() (status int, size int64, err error) {
+	ctx, cancel := context.WithTimeout(sit.t.Context(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, sit.server.URL+"/safe/1", nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	platform.EncodeRequest(req.Header, platform.Request{
+		Attempt: fmt.Sprintf("attempt-%d", sit.serial.Add(1)),
+		Wait:    2 * time.Second,
+	})
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	size, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, size, err
+}
+
+// TestEndlessUpstreamIsLeftAlone guards against an upstream that sends bytes without end and is chosen again at once.
+func TestEndlessUpstreamIsLeftAlone(t *testing.T) {
+	sit := newSite(t)
+	sit.endless("one", func(string) string { return "" }, strings.Repeat("HTTP/1.1 ", 500))
+	if status, _, _ := sit.fetch(); status != http.StatusBadGateway {
+		t.Errorf("got status %d, want %d", status, http.StatusBadGateway)
+	}
+	for _, mem := range sit.forward.view.Load().holders {
+		if mem.state(time.Now()).usable {
+			t.Error("the upstream can be chosen again at once")
+		}
+	}
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// keptAnswer is the size in bytes up to which an answer is read to its end before the caller gets any of it, so that
-	// a broken one can be replaced.
-	keptAnswer = 1 << 20
 	// maxArrivals bounds the upstreams that a request reaches, counting those that did not run it.
 	maxArrivals = 3
 	// maxConnects bounds the connections that fail for one request.
@@ -313,6 +310,9 @@
 		}
 	case fperror.UpstreamLost, fperror.AnswerTruncated:
 		mem.failed()
+		if errors.Is(err, errEndless) && mem.lost(now) {
+			go exc.fwd.probe(mem)
+		}
 	case fperror.OutcomeUnknown:
 		if exc.request.Context().Err() == nil {
 			mem.overdue(now, took)
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -49,10 +49,10 @@
 	waits    waits
 	// bundles holds a place for each bundle that may be in flight.
 	bundles chan struct{}
-	// bodies is the memory for kept bodies, in bytes.
-	bodies   *semaphore.Weighted
-	pacers   pacers
-	stopping atomic.Bool
+	// bodies and answers are the memory for kept bodies of requests and for long kept answers, in bytes.
+	bodies, answers *semaphore.Weighted
+	pacers          pacers
+	stopping        atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
 	entries atomic.Uint32
 
@@ -93,6 +93,7 @@
 		changed: make(chan struct{}),
 		bundles: make(chan struct{}, bundlePlaces(cfg.Link)),
 		bodies:  semaphore.NewWeighted(bodyMemory(cfg.Memory)),
+		answers: semaphore.NewWeighted(bodyMemory(cfg.Memory)),
 		pacers:  newPacers(cfg.Link),
 		members: map[life]*member{},
 		budgets: map[string]*budget{},
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/platform"
@@ -45,13 +47,18 @@
 // send sends the request on a connection and reads the answer. The reply is set for answers that say that the request did
 // not run, too.
 func (exc *exchange) send(ctx context.Context, mem *member, lin *fpconn.Line) (*reply, error) {
+	before := lin.Received()
 	res, err := lin.RoundTrip(exc.newRequest(ctx, mem))
 	if err != nil {
 		crashed := lin.Crashed()
+		endless := lin.Received()-before >= fpconn.MaxAnswerHeader
 		lin.Close()
 		if failure := exc.rest.failure(); failure != nil {
 			return nil, failure
 		}
+		if endless {
+			return nil, fperror.Wrap(fperror.UpstreamLost, errEndless, "the head of an answer of upstream %s", mem.upstream.GetId())
+		}
 		if ctx.Err() != nil {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "no answer of upstream %s in time", mem.upstream.GetId())
 		}
@@ -70,48 +77,6 @@
 	return rep, exc.read(ctx, mem, lin, res, rep)
 }
 
-// read reads the body of an answer, as far as it is kept, and judges the answer.
-func (exc *exchange) read(ctx context.Context, mem *member, lin *fpconn.Line, res *http.Response, rep *reply) error {
-	var from io.Reader = res.Body
-	kept := keptAnswer
-	if exc.paced() {
-		kept = thinKeptAnswer
-		from = &pacedReader{
-			ctx:     ctx,
-			from:    res.Body,
-			limiter: exc.fwd.pacers.in,
-		}
-	}
-	body, err := io.ReadAll(io.LimitReader(from, int64(kept)+1))
-	if err != nil {
-		lin.Close()
-		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
-			return fperror.Wrap(fperror.OutcomeUnknown, err, "the answer of upstream %s did not end in time", mem.upstream.GetId())
-		}
-		return fperror.Wrap(fperror.AnswerTruncated, err, "the answer of upstream %s broke off after %d bytes", mem.upstream.GetId(), len(body))
-	}
-	rep.body = body
-	if len(body) > kept {
-		rep.rest = from
-		rep.close = func(complete bool) {
-			if complete && !res.Close {
-				mem.lines.Put(lin, rep.answer.Idle)
-				return
-			}
-			lin.Close()
-		}
-	} else {
-		// The body has been read to its end, so that closing it cannot fail.
-		_ = res.Body.Close()
-		if res.Close {
-			lin.Close()
-		} else {
-			mem.lines.Put(lin, rep.answer.Idle)
-		}
-	}
-	return judge(mem, rep)
-}
-
 // judge returns an error for an answer that the caller must not get.
 func judge(mem *member, rep *reply) error {
 	name := mem.upstream.GetId()
@@ -158,6 +123,9 @@
 			_, err = io.Copy(to, rep.rest)
 		}
 		rep.close(err == nil)
+		if errors.Is(err, errEndless) && exc.last.member.lost(time.Now()) {
+			go exc.fwd.probe(exc.last.member)
+		}
 	}
 	exc.logEnd(rep.status, err)
 	if err != nil && rep.rest != nil {
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -66,6 +66,9 @@
 // Crashed reports whether the upstream itself ended the connection.
 func (lin *Line) Crashed() bool { return lin.socket.endedThere.Load() }
 
+// Received returns the number of bytes that the upstream has sent on the connection.
+func (lin *Line) Received() int64 { return lin.socket.received.Load() }
+
 // RoundTrip sends one request. An error does not tell whether it ran. The request is never sent again.
 func (lin *Line) RoundTrip(req *http.Request) (*http.Response, error) {
 	return lin.client.RoundTrip(req)
--- a/internal/upstream/fpconn/pools.go
+++ b/internal/upstream/fpconn/pools.go
@@ -29,6 +29,9 @@
 // maxHTTP2 bounds the connections of HTTP/2 to one upstream: enough to go on when one of them is silent.
 const maxHTTP2 = 4
 
+// MaxAnswerHeader bounds the header of an answer in bytes. An upstream in trouble may send bytes without end.
+const MaxAnswerHeader = 64 << 10
+
 // healthPath is asked on each new connection before the connection is put into service.
 const healthPath = "/foxtailpulley/health"
 
@@ -187,9 +190,10 @@
 	pro.SetHTTP1(http1)
 	pro.SetUnencryptedHTTP2(!http1)
 	return &http.Transport{
-		DialContext:        dial,
-		DisableCompression: true,
-		Protocols:          &pro,
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxAnswerHeader,
+		Protocols:              &pro,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  cfg.ReadIdle,
 			PingTimeout:      cfg.PingTimeout,
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -26,11 +26,13 @@
 	net.Conn
 	closedHere atomic.Bool
 	endedThere atomic.Bool
+	received   atomic.Int64
 }
 
 // Read notes the end of the connection by the peer.
 func (soc *socket) Read(buf []byte) (int, error) {
 	num, err := soc.Conn.Read(buf)
+	soc.received.Add(int64(num))
 	soc.note(err)
 	return num, err
 }
