fpforward: the time to send a body is no work of the upstream

Cause: the mean time of an upstream held the time in which a long body was sent, which is paced on a thin link. An upstream that took an upload counted as slow for short requests to it, too. Measured: TestTransferIsNoWork fails without it (583 ms for 20 ms of work).

--- a/internal/route/fpforward/answer.go
+++ b/internal/route/fpforward/answer.go
@@ -19,7 +19,7 @@
 	smallAnswer = 64 << 10
 	// maxUnsized is the size in bytes of an answer without a length from which it is taken for bytes without end. Bundles
 	// may be longer.
-	maxUnsized = 16 << 20
+	maxUnsized = 4 << 20
 )
 
 // errEndless marks an answer that goes on beyond what an answer can be.
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -237,3 +239,31 @@
 		out.ContentLength = 0
 	}
 }
+
+// workClock measures how long an upstream has had a request. The time in which a long body is sent says nothing of the upstream.
+type workClock struct {
+	began time.Time
+	// written is how long after began the request had been sent, or 0.
+	written atomic.Int64
+}
+
+func newWorkClock(now time.Time) *workClock {
+	return &workClock{
+		began: now,
+	}
+}
+
+// trace returns a context whose request is watched if it has a long body.
+func (clo *workClock) trace(ctx context.Context, body int) context.Context {
+	if body < askFirst {
+		return ctx
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { clo.written.Store(int64(time.Since(clo.began))) },
+	})
+}
+
+// took returns the time since the request had been sent.
+func (clo *workClock) took(now time.Time) time.Duration {
+	return now.Sub(clo.began) - time.Duration(clo.written.Load())
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -259,10 +259,10 @@
 	exc.tried[mem] = true
 	mem.begin()
 	mem.exploreAfter(exc.fwd.explorePause())
-	sent := time.Now()
-	rep, err := exc.send(ctx, mem, lin)
+	clo := newWorkClock(time.Now())
+	rep, err := exc.send(clo.trace(ctx, len(exc.body)), mem, lin)
 	mem.end()
-	took := time.Since(sent)
+	took := clo.took(time.Now())
 	exc.fwd.counters.phase("upstream", took)
 	if err != nil && !lin.Used() && lin.Crashed() && took < cho.state.mean/2 {
 		// The request can hardly have run in this time: the upstream accepts no more connections.
--- a/internal/route/fpforward/upload_test.go
+++ b/internal/route/fpforward/upload_test.go
@@ -479,3 +479,24 @@
 		t.Errorf("%d bytes passed in %v, want at least %v", size, took, least)
 	}
 }
+
+// TestTransferIsNoWork answers the pattern of a service that takes uploads and short requests over a thin link. It guards against
+// upstreams that count as slow because of the time in which a body is sent, so that uploads go to another region and short
+// requests are refused.
+func TestTransferIsNoWork(t *testing.T) {
+	const link, size, work = 1e6, 200 << 10, 20 * time.Millisecond
+	sit := newSiteWith(t, func(cfg *Config) { cfg.Link = link })
+	sit.handle("one", func(wri http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // a failure shows in the answer
+		time.Sleep(work)
+		signed(wri, req)
+	})
+	if status := sit.upload(t.Context(), bytes.NewReader(make([]byte, size))); status != http.StatusOK {
+		t.Fatalf("got status %d", status)
+	}
+	for _, mem := range sit.forward.view.Load().holders {
+		if mean := mem.state(time.Now()).mean; mean > 5*work {
+			t.Errorf("the upstream counts as one that works for %v, it did for %v", mean, work)
+		}
+	}
+}
