fpforward: a panic of one request is its failure alone

Cause: requests that are begun before their turn run in goroutines of their own, where an unexpected error would end the process; at its turn a request with one got a broken connection and no log line. Change: both ways turn it into a failure of kind internal, which leaves open whether the request ran, with a line and a counter.

--- a/internal/route/fpforward/early.go
+++ b/internal/route/fpforward/early.go
@@ -76,6 +76,7 @@
 	ear.ctx, ear.cancel = context.WithDeadline(ctx, exc.deadline)
 	go func() {
 		defer close(ear.done)
+		defer exc.catch(func(failure error) { ear.reply, ear.failure = nil, failure })
 		ear.reply, ear.failure = exc.resolve(ear.ctx)
 	}()
 	return ear
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
@@ -55,6 +56,8 @@
 	revision  uint64
 	// fallback is an upstream's own failure, which the caller gets if no further attempt brings a better answer.
 	fallback *reply
+	// begun states that the answer has begun to be written.
+	begun bool
 	// full states that the owner of the key has refused the request because its queue is full.
 	full bool
 }
@@ -90,9 +93,31 @@
 	}
 	exc := fwd.newExchange(wri, req, tur.Arrived)
 	exc.turn, exc.behind = waited, tur.Behind
+	defer exc.catch(func(failure error) {
+		if exc.begun {
+			// The caller must not take a part for the whole.
+			panic(http.ErrAbortHandler)
+		}
+		exc.fail(failure)
+	})
 	exc.serve()
 }
 
+// catch turns a panic of one request into its failure, so that the others go on. It is deferred.
+func (exc *exchange) catch(failed func(failure error)) {
+	value := recover()
+	switch value {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+		panic(value)
+	}
+	err := fperror.New(fperror.Internal, "panic: %v", value)
+	exc.fwd.counters.add("panics")
+	exc.fwd.cfg.Log.Error("a request caused a panic", zap.String("id", exc.info.Attempt), zap.Error(err), zap.Stack("stack"))
+	failed(err)
+}
+
 // serve serves a request whose turn has come.
 func (exc *exchange) serve() {
 	if err := exc.prepare(); err != nil {
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -108,6 +108,7 @@
 	if rep.rest == nil && exc.request.Method != http.MethodHead && bodyAllowed(rep.status) {
 		hea.Set("Content-Length", strconv.Itoa(len(rep.body)))
 	}
+	exc.begun = true
 	exc.writer.WriteHeader(rep.status)
 	var to io.Writer = exc.writer
 	if exc.paced() {
@@ -160,6 +161,7 @@
 		exc.writer.Header().Set("Connection", "close")
 	}
 	exc.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	exc.begun = true
 	exc.writer.WriteHeader(status)
 	_, _ = io.WriteString(exc.writer, kin.String()+"\n") // a caller that has left needs no answer
 	exc.logEnd(status, err)
