fpforward, fpcontrol: refuse requests of HTTP routes that crash their upstreams

Cause: fpquarantine was not connected to HTTP routes, so that a request which crashes each upstream that runs it could take down one after the other, from any entry VM (rule BUDGET allows three retries after the third crash). Ruled out: to count broken connections; answers are lost while the upstream lives on, and one with a long queue resets new connections. Change: a request whose connection broke is a suspect once the address refuses connections or a later life is known. Entry VMs report to the leader, which counts distinct lives for each content, commits the refusal after the second crash, and lifts it after 10 s, four times as long after each further crash, or when an upstream has answered the request. A VM refuses after two crashes of its own at once. A pacing error while a body is sent counts as a passed deadline, not as a failure of the upstream.

--- a/internal/control/fpdirectory/directory.go
+++ b/internal/control/fpdirectory/directory.go
@@ -26,16 +26,19 @@
 	configAt  uint64
 	upstreams map[string]*fpstate.Upstream
 	spaces    map[string]*fpstate.KeySpace
-	lastFence uint64
-	changed   chan struct{} // closed and replaced at each change
+	// quarantines are the requests that are or were refused, by digest.
+	quarantines map[string]*fpstate.Quarantine
+	lastFence   uint64
+	changed     chan struct{} // closed and replaced at each change
 }
 
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
-		upstreams: map[string]*fpstate.Upstream{},
-		spaces:    map[string]*fpstate.KeySpace{},
-		changed:   make(chan struct{}),
+		upstreams:   map[string]*fpstate.Upstream{},
+		spaces:      map[string]*fpstate.KeySpace{},
+		quarantines: map[string]*fpstate.Quarantine{},
+		changed:     make(chan struct{}),
 	}
 }
 
@@ -59,6 +62,8 @@
 		changed = dir.depart(pos.Index, body.Depart)
 	case *fpstate.Command_Change:
 		changed = dir.change(pos, body.Change)
+	case *fpstate.Command_Quarantine:
+		changed = dir.quarantine(pos.Index, body.Quarantine)
 	}
 	if changed {
 		close(dir.changed)
@@ -243,6 +248,10 @@
 	for _, ups := range sta.GetUpstreams() {
 		dir.upstreams[ups.GetId()] = ups
 	}
+	dir.quarantines = map[string]*fpstate.Quarantine{}
+	for _, qua := range sta.GetQuarantines() {
+		dir.quarantines[qua.GetDigest()] = qua
+	}
 	dir.spaces = map[string]*fpstate.KeySpace{}
 	for _, spa := range sta.GetKeySpaces() {
 		dir.spaces[spa.GetService()] = spa
@@ -268,6 +277,11 @@
 			sta.Upstreams = append(sta.Upstreams, ups)
 		}
 	}
+	for _, qua := range dir.quarantines {
+		if qua.GetModified() > after {
+			sta.Quarantines = append(sta.Quarantines, qua)
+		}
+	}
 	for _, spa := range dir.spaces {
 		if spa.GetModified() > after {
 			sta.KeySpaces = append(sta.KeySpaces, changedRanges(spa, after))
@@ -312,7 +326,7 @@
 
 // Empty reports whether a part of the state holds no change.
 func Empty(sta *fpstate.State) bool {
-	return sta.GetConfiguration() == nil && len(sta.GetUpstreams()) == 0 && len(sta.GetKeySpaces()) == 0
+	return sta.GetConfiguration() == nil && len(sta.GetUpstreams()) == 0 && len(sta.GetKeySpaces()) == 0 && len(sta.GetQuarantines()) == 0
 }
 
 // Changed returns a channel that is closed at the next change.
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -85,6 +85,8 @@
 	followers *followers
 	beats     *beats
 	metrics   metrics
+	// quarantine holds what is known of requests that crash upstreams.
+	quarantine quarantine
 	// last is the state that this VM stored before it started, or nil.
 	last *fpstate.WatchResponse
 
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -107,6 +107,7 @@
 	}
 	pla.life, pla.cut = context.WithCancel(context.Background())
 	con.setKeeper(pla.keeper)
+	con.quarantine.lead(now, con.directory.Quarantined())
 	con.cfg.Log.Info("placement of keys started", zap.Uint64("term", term), zap.Uint64("lastFence", sta.GetLastFence()))
 	return pla
 }
@@ -160,6 +161,7 @@
 			}
 		})
 	}
+	pla.con.commitQuarantines(ctx)
 	if time.Since(pla.forgot) > forgetInterval {
 		pla.forgot = time.Now()
 		pla.con.forgetSilent(ctx, &pla.silences)
@@ -263,6 +265,7 @@
 		return
 	}
 	now := time.Now()
+	con.quarantine.report(now, req.GetCrashes(), req.GetCleared())
 	for _, cou := range req.GetCounts() {
 		loa := con.keeper.Load(cou.GetService())
 		for pos, key := range cou.GetKeys() {
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -317,14 +317,20 @@
 		leader := wat.leader
 		wat.mutex.Unlock()
 		counts := wat.forwarder.TakeLoad()
-		if leader == "" || len(counts) == 0 {
+		if leader == "" {
+			continue
+		}
+		crashes, cleared := wat.forwarder.TakeCrashes()
+		if len(counts)+len(crashes)+len(cleared) == 0 {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		_, err := wat.clientOf(leader).Report(call, connect.NewRequest(&fpstate.ReportRequest{
-			Vm:     wat.vm,
-			Counts: counts,
-			Period: durationpb.New(reportInterval),
+			Vm:      wat.vm,
+			Counts:  counts,
+			Period:  durationpb.New(reportInterval),
+			Crashes: crashes,
+			Cleared: cleared,
 		}))
 		cancel()
 		if err != nil {
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -44,6 +44,8 @@
 	// bodyLimit is the size in bytes that the body may have; 0 means that there is no limit.
 	bodyLimit int64
 	body      []byte
+	// content is the digest of the request, or empty as long as it was not needed.
+	content string
 	// rest is what follows body, or nil.
 	rest *restBody
 
@@ -199,7 +201,11 @@
 func (exc *exchange) resolve(ctx context.Context) (*reply, error) {
 	var failure error
 	for {
-		cho, err := exc.choose(ctx)
+		var cho choice
+		err := exc.checkCrashes(time.Now())
+		if err == nil {
+			cho, err = exc.choose(ctx)
+		}
 		if cho.member != nil {
 			exc.last = cho
 		}
@@ -271,6 +277,9 @@
 	if err != nil {
 		exc.connects++
 		exc.tried[mem] = true
+		if processEnded(err) {
+			exc.fwd.crashed(mem, time.Now())
+		}
 		if ctx.Err() == nil && mem.lost(time.Now()) {
 			go exc.fwd.probe(mem)
 		}
@@ -289,11 +298,16 @@
 	mem.end()
 	took := clo.took(time.Now())
 	exc.fwd.counters.phase("upstream", took)
-	if err != nil && !lin.Used() && lin.Crashed() && took < cho.state.mean/2 {
-		// The request can hardly have run in this time: the upstream accepts no more connections.
-		mem.resetLine(time.Now())
+	if err != nil && lin.Crashed() {
+		// A request on a new connection can hardly have run in this time: the upstream accepts no more connections.
+		full := !lin.Used() && took < cho.state.mean/2
+		if full {
+			mem.resetLine(time.Now())
+		}
+		exc.brokeOff(mem, time.Now(), !full)
 	}
 	if err == nil {
+		exc.clearSuspicion()
 		mem.answered(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
 		if exc.keyed {
 			exc.fwd.load.answered(exc.service, mem.upstream.GetId(), mem.state(time.Now()).mean)
@@ -373,6 +387,8 @@
 		cancel()
 		if err == nil {
 			mem.lines.Put(lin, 0)
+		} else if processEnded(err) {
+			fwd.crashed(mem, time.Now())
 		}
 		if !mem.probed(time.Now(), err == nil) || !fwd.knows(mem) {
 			return
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fproute"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -52,7 +53,10 @@
 	// bodies and answers are the memory for kept bodies of requests and for long kept answers, in bytes.
 	bodies, answers *semaphore.Weighted
 	pacers          pacers
-	stopping        atomic.Bool
+	// quarantine holds the requests that crash upstreams.
+	quarantine *fpquarantine.List
+	crashes    crashReports
+	stopping   atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
 	entries atomic.Uint32
 
@@ -79,7 +83,9 @@
 	upstreams map[string]*fpstate.Upstream
 	spaces    map[string]*fpstate.KeySpace
 	holders   map[life]*member
-	at        time.Time
+	// quarantines are the requests that are or were refused, by digest.
+	quarantines map[string]*fpstate.Quarantine
+	at          time.Time
 	// dataCentres is the number of data centres with upstreams.
 	dataCentres int
 }
@@ -95,6 +101,9 @@
 		bodies:  semaphore.NewWeighted(bodyMemory(cfg.Memory)),
 		answers: semaphore.NewWeighted(bodyMemory(cfg.Memory)),
 		pacers:  newPacers(cfg.Link),
+		quarantine: fpquarantine.New(fpquarantine.Config{
+			Remember: suspectTime,
+		}),
 		members: map[life]*member{},
 		budgets: map[string]*budget{},
 		splits:  map[string]*splitter{},
@@ -103,8 +112,9 @@
 	fwd.counters.init()
 	fwd.entries.Store(1)
 	fwd.view.Store(&view{
-		upstreams: map[string]*fpstate.Upstream{},
-		spaces:    map[string]*fpstate.KeySpace{},
+		upstreams:   map[string]*fpstate.Upstream{},
+		spaces:      map[string]*fpstate.KeySpace{},
+		quarantines: map[string]*fpstate.Quarantine{},
 	})
 	return fwd
 }
@@ -144,9 +154,33 @@
 			next.spaces[spa.GetService()] = fpdirectory.Merge(known, spa)
 		}
 	}
+	next.quarantines = old.quarantines
+	if len(sta.GetQuarantines()) > 0 {
+		next.quarantines = maps.Clone(old.quarantines)
+		for _, qua := range sta.GetQuarantines() {
+			if known := next.quarantines[qua.GetDigest()]; known.GetModified() < qua.GetModified() {
+				next.quarantines[qua.GetDigest()] = qua
+			}
+		}
+		fwd.refuse(next.quarantines)
+	}
 	fwd.adopt(next)
 }
 
+// refuse makes the requests that are quarantined the ones that this VM refuses.
+func (fwd *Forwarder) refuse(quarantines map[string]*fpstate.Quarantine) {
+	var digests []string
+	for digest, qua := range quarantines {
+		if !qua.GetLifted() {
+			digests = append(digests, digest)
+		}
+	}
+	fwd.quarantine.Replace(controlGroup, digests)
+}
+
+// controlGroup is the name under which the quarantine of the control VMs is held.
+const controlGroup = "control"
+
 // adopt puts a view into force.
 func (fwd *Forwarder) adopt(next *view) {
 	fwd.mutex.Lock()
@@ -178,6 +212,7 @@
 	}
 	for lif, mem := range fwd.members {
 		if ups := next.upstreams[lif.id]; ups.GetBorn() != lif.born {
+			fwd.crashed(mem, time.Now())
 			mem.lines.Close()
 			delete(fwd.members, lif)
 		}
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
@@ -71,6 +72,10 @@
 	far      distance
 	lines    *fpconn.Exclusive
 	since    time.Time
+	// broken are the requests whose connections have broken, and confirming states that it is being found out whether the
+	// process has ended.
+	broken     brokenRequests
+	confirming atomic.Bool
 
 	mutex sync.Mutex
 	// explore is when the upstream is due for a request from this VM although others are expected to answer sooner.
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -59,7 +59,7 @@
 		if endless {
 			return nil, fperror.Wrap(fperror.UpstreamLost, errEndless, "the head of an answer of upstream %s", mem.upstream.GetId())
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "no answer of upstream %s in time", mem.upstream.GetId())
 		}
 		return nil, fperror.Wrap(fperror.UpstreamLost, err, "upstream %s gave no answer, connection ended there: %t", mem.upstream.GetId(), crashed)
--- a/internal/route/fpquarantine/list.go
+++ b/internal/route/fpquarantine/list.go
@@ -102,6 +102,18 @@
 	return len(sus.crashes)
 }
 
+// Clear forgets a suspect that an upstream has answered, and reports whether it was one.
+func (lis *List) Clear(digest string) bool {
+	lis.mut.Lock()
+	defer lis.mut.Unlock()
+	if _, ok := lis.suspects[digest]; !ok {
+		return false
+	}
+	delete(lis.suspects, digest)
+	lis.order = slices.DeleteFunc(lis.order, func(other string) bool { return other == digest })
+	return true
+}
+
 // Check returns an error of kind Quarantined if the request must not run.
 func (lis *List) Check(now time.Time, digest string) error {
 	lis.mut.Lock()
--- /dev/null
+++ b/internal/route/fpquarantine/tally_test.go
@@ -0,0 +1,74 @@
+package fpquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+)
+
+// TestTallyHolds answers the pattern of a request that crashes each upstream which runs it and comes again. It guards against a
+// request that is let through often after its third crash, and against an innocent one beside it that is refused for good.
+func TestTallyHolds(t *testing.T) {
+	var tal fpquarantine.Tally
+	now := start
+	sent, afterThird, refused := 0, 0, false
+	for passed := time.Duration(0); passed < 5*time.Minute; passed += time.Second {
+		now = start.Add(passed)
+		for range tal.Due(now) {
+			refused = false
+		}
+		if refused {
+			continue
+		}
+		if sent++; sent > 3 {
+			afterThird++
+		}
+		refused = tal.Report(now, "bad", crash(fmt.Sprintf("u%d", sent), 1))
+	}
+	if afterThird > 3 {
+		t.Errorf("the request reached %d upstreams after its third crash, want at most 3", afterThird)
+	}
+	tal.Report(now, "beside", crash("u8", 1))
+	if !tal.Report(now, "beside", crash("u9", 1)) {
+		t.Fatal("a request with two crashes is not refused")
+	}
+	served := false
+	for passed := time.Duration(0); passed < 15*time.Second; passed += time.Second {
+		for _, digest := range tal.Due(now.Add(passed)) {
+			served = served || digest == "beside"
+		}
+	}
+	if !served {
+		t.Error("a request that was beside two crashes is refused for more than 15 s")
+	}
+}
+
+// TestTallyCounts guards against a refusal for one crash that several VMs report, or of a request that was answered in between.
+func TestTallyCounts(t *testing.T) {
+	var tal fpquarantine.Tally
+	if tal.Report(start, "one", crash("u0", 1)) || tal.Report(start, "one", crash("u0", 1)) {
+		t.Error("refused after one crash that was reported twice")
+	}
+	tal.Clear("one")
+	if tal.Report(start, "one", crash("u1", 1)) {
+		t.Error("refused after one crash since an answer")
+	}
+	if !tal.Report(start, "one", crash("u1", 2)) || !tal.Clear("one") {
+		t.Error("not refused after crashes of two lives")
+	}
+	for num := range 2 * fpquarantine.DefaultMaxSuspects {
+		tal.Report(start.Add(time.Duration(num)), fmt.Sprint(num), crash("u0", 1))
+	}
+	if !tal.Report(start, fmt.Sprint(2*fpquarantine.DefaultMaxSuspects-1), crash("u1", 1)) {
+		t.Error("the newest suspect was forgotten")
+	}
+	if tal.Report(start, "0", crash("u1", 1)) {
+		t.Error("the oldest suspect is remembered beyond the bound")
+	}
+	tal.Adopt(start, "old")
+	if !tal.Report(start, "old", crash("u5", 1)) {
+		t.Error("a request that an earlier leader refused starts anew")
+	}
+}
