fpforward: watch a new connection for a reset before a request is sent on it

Cause: an owner with a long queue resets new connections once they are open. Change: a connection to an upstream that has reset one lately, whose places are taken, or of which nothing new is known (only within the region) is watched for the time that it took to open and 3 ms; after a reset the request is refused as not run.

--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
@@ -272,11 +273,16 @@
 	}
 	var err error
 	if lin == nil {
-		lin, err = mem.lines.Open(ctx)
+		lin, err = exc.open(ctx, cho)
 	}
 	if err != nil {
 		exc.connects++
 		exc.tried[mem] = true
+	}
+	if fperror.Is(err, fperror.Overloaded) {
+		return nil, err
+	}
+	if err != nil {
 		if processEnded(err) {
 			exc.fwd.crashed(mem, time.Now())
 		}
@@ -322,6 +328,24 @@
 	return nil, err
 }
 
+// open opens a connection to an upstream. The error kinds are ConnectFailed and Overloaded, and both mean that nothing was sent.
+func (exc *exchange) open(ctx context.Context, cho choice) (*fpconn.Line, error) {
+	mem := cho.member
+	began := time.Now()
+	lin, err := mem.lines.Open(ctx)
+	if err != nil || !mem.mayReset(began, cho.state) {
+		return lin, err
+	}
+	wait := min(mostSettle, exc.fwd.cfg.Settle+time.Since(began))
+	if lin.Settle(ctx, wait) {
+		return lin, nil
+	}
+	lin.Close()
+	mem.resetLine(time.Now())
+	exc.fwd.counters.add("resetBeforeRequest")
+	return nil, fperror.New(fperror.Overloaded, "upstream %s has no room for another connection", mem.upstream.GetId())
+}
+
 // betterElsewhere reports whether a failure of the upstream's own is worth another attempt.
 func (exc *exchange) betterElsewhere(rep *reply) bool {
 	failed := rep.status >= http.StatusInternalServerError && rep.rest == nil
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -7,6 +7,7 @@
 package fpforward
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -35,6 +36,9 @@
 	Link float64
 	// Memory is that of the process in bytes; 0 means that it is not limited.
 	Memory int64
+	// Settle is how long, beyond the time to open it, a new connection to an upstream that may be full is watched for a reset.
+	// 0: 3 ms.
+	Settle time.Duration
 	Log    *zap.Logger
 }
 
@@ -92,6 +96,7 @@
 
 // New returns a forwarder that knows no configuration.
 func New(cfg Config) *Forwarder {
+	cfg.Settle = cmp.Or(cfg.Settle, defaultSettle)
 	fwd := &Forwarder{
 		cfg:     cfg,
 		region:  cfg.Region(cfg.DataCentre),
--- a/internal/route/fpforward/forwarder_test.go
+++ b/internal/route/fpforward/forwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -454,6 +455,44 @@
 	}
 }
 
+// TestFullUpstream answers the pattern of an upstream that has no room for another connection and resets it once it is open. It
+// guards against a request that is sent on such a connection, after which nobody can say that it has not run.
+func TestFullUpstream(t *testing.T) {
+	sit := newSiteWith(t, func(cfg *Config) { cfg.Settle = mostSettle }) // a busy machine may reset late
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	var requests atomic.Int64
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond) // the upstream takes this long for a new connection
+			_ = con.(*net.TCPConn).SetLinger(0)
+			_ = con.SetReadDeadline(time.Now().Add(time.Microsecond))
+			if num, _ := con.Read(make([]byte, 1)); num > 0 {
+				requests.Add(1)
+			}
+			_ = con.Close()
+		}
+	}()
+	sit.join("full", lis.Addr().String())
+	for range 5 {
+		got := sit.call("/once/1", platform.Request{})
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("got status %d, Retry-After %q, want a refusal that says that the request did not run", got.status, got.header.Get("Retry-After"))
+		}
+		time.Sleep(mostLinePause)
+	}
+	if got := requests.Load(); got > 0 {
+		t.Errorf("%d requests were sent", got)
+	}
+}
+
 // TestLostUpstream guards against an upstream that is chosen again and again after it could not be reached.
 func TestLostUpstream(t *testing.T) {
 	sit := newSite(t)
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -46,6 +46,15 @@
 	// upstream with a long queue accepts fewer connections than it states.
 	leastLinePause = 100 * time.Millisecond
 	mostLinePause  = 800 * time.Millisecond
+	// defaultSettle is how long, beyond the time to open it, a new connection to an upstream that may be full is watched for a
+	// reset before a request is sent on it: the reset takes one way there and back, and the upstream some time. mostSettle
+	// bounds the whole where opening has taken long.
+	defaultSettle = 3 * time.Millisecond
+	mostSettle    = 100 * time.Millisecond
+	// resetMemory is how long an upstream that has reset a new connection counts as one that may be full, and staleLoad the age
+	// from which a report of its load says nothing of that.
+	resetMemory = 5 * time.Second
+	staleLoad   = 2 * time.Second
 	// exploreSpread is the time over which the VMs send their first requests to an upstream that has joined, so that they do
 	// not come together; explorePause is the time until the next one if there was no answer.
 	exploreSpread = 2 * time.Second
@@ -237,6 +246,17 @@
 	return now.Before(mem.fewLines)
 }
 
+// mayReset reports whether the upstream may have no room for another connection: it has reset one lately, its places are taken, or
+// nothing is known of that. An upstream in another region is given the benefit of the doubt, because waiting costs more there.
+func (mem *member) mayReset(now time.Time, sta state) bool {
+	mem.mutex.Lock()
+	lately := now.Sub(mem.fewLines) < resetMemory
+	mem.mutex.Unlock()
+	busy := sta.load >= mem.units()
+	unknown := !sta.known || sta.age < 0 || sta.age > staleLoad
+	return lately || busy || unknown && mem.far != otherRegion
+}
+
 // begin counts a request as in flight.
 func (mem *member) begin() {
 	mem.mutex.Lock()
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -62,7 +62,8 @@
 		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "no answer of upstream %s in time", mem.upstream.GetId())
 		}
-		return nil, fperror.Wrap(fperror.UpstreamLost, err, "upstream %s gave no answer, connection ended there: %t", mem.upstream.GetId(), crashed)
+		return nil, fperror.Wrap(fperror.UpstreamLost, err, "upstream %s gave no answer, new connection: %t, ended there: %t",
+			mem.upstream.GetId(), !lin.Used(), crashed)
 	}
 	rep := &reply{
 		status: res.StatusCode,
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -74,6 +74,18 @@
 	return lin.client.RoundTrip(req)
 }
 
+// Settle waits and reports whether the connection is still open then. An upstream that has no room for a connection ends it once it
+// is open, and a request that has been sent by then may have run.
+func (lin *Line) Settle(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return lin.client.Err() == nil && !lin.Crashed()
+}
+
 // Close closes the connection.
 func (lin *Line) Close() {
 	// The connection is of no more use, whether or not its end is reported.
