fpforward: let requests wait for the first configuration of a VM that has just started

Cause: after the loss of power of all VMs entry VMs answer 0.4 to 0.8 s before the first state arrives. Ruled out: a later start of the listener (the connection would hang, and the caller leave after a second); shorter pauses between polls (control VMs start at that time). Change: such a request waits for the configuration, for 30 in 100 of its time and 1 s at most, and is then refused as before. TestOlderStateChangesNothing shows that a control VM which hands out older state brings back no upstream, range or revision.

--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -123,6 +123,7 @@
 
 // serve serves a request whose turn has come.
 func (exc *exchange) serve() {
+	exc.awaitConfiguration()
 	if err := exc.prepare(); err != nil {
 		exc.fail(err)
 		return
