--- a/internal/node/fpgate/caller.go
+++ b/internal/node/fpgate/caller.go
@@ -14,21 +14,21 @@
 )
 
 const (
-	// aheadBytes bounds what is read of further requests while one is in progress. A caller that sends more waits.
+	// aheadBytes bounds what is read of pipelined requests while one is in progress. A caller that sends more waits.
 	aheadBytes = 8 << 10
-	// mostAhead bounds the further requests of a connection that are begun before their turn.
+	// mostAhead bounds the pipelined requests of a connection that are begun before their turn.
 	mostAhead = 8
 	// firstRequestTime is how long a VM that stops waits for the first request on a connection that it has accepted.
 	firstRequestTime = time.Second
 	// lingerTime is how long the end of a connection waits for the caller to read the last answer, when the caller has sent
-	// further requests. Closing at once would reset the connection and drop the answer.
+	// pipelined requests. Closing at once would reset the connection and drop the answer.
 	lingerTime = 300 * time.Millisecond
 )
 
-// callerConn is the connection of a caller that may send further requests before the first is answered. The HTTP server stops
-// looking for the end of the connection at the first byte of a further request, and reads on only when the turn of that request
-// has come. This type reads on meanwhile, notices when the caller leaves, and begins further requests that can be repeated, so
-// that they do not wait for those before them. Their answers go out in order, because the server writes them.
+// callerConn is the connection of a caller that may pipeline requests. The HTTP server stops looking for the end of the connection
+// at the first byte of the next request, and reads on only when the turn of that request has come. This type reads on meanwhile,
+// notices when the caller leaves, and begins pipelined requests that can be repeated, so that they do not wait for those before
+// them. Their answers go out in order, because the server writes them.
 type callerConn struct {
 	net.Conn
 	// left is called when the caller has ended the connection.
@@ -88,13 +88,13 @@
 	if len(con.begun) > 0 {
 		tur.Early, con.begun = con.begun[0], con.begun[1:]
 	} else {
-		// What stood before this request has got its turn, so that looking ahead may go on behind it.
+		// The request that stopped the look ahead has got its turn.
 		con.requests.stopped = false
 	}
 	return tur
 }
 
-// behind reports whether a further request has been begun.
+// behind reports whether a pipelined request has been begun before its turn.
 func (con *callerConn) behind() bool {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
@@ -176,7 +176,7 @@
 	}
 }
 
-// beginEarly begins the further requests that can be. The caller holds the mutex.
+// beginEarly begins the pipelined requests that can be. The caller holds the mutex.
 func (con *callerConn) beginEarly() {
 	for con.early != nil && len(con.begun) < mostAhead {
 		req, arrived := con.requests.next()
--- a/internal/route/fpforward/crash_test.go
+++ b/internal/route/fpforward/crash_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
-	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // fragile adds an upstream whose process ends when it runs a request with the body "bad".
@@ -30,22 +29,9 @@
 	sit.join(id, srv.Listener.Addr().String())
 }
 
-// post sends a request with a body.
+// post sends a short request and returns the status, or 0 without an answer.
 func (sit *site) post(body string) int {
-	req, err := http.NewRequestWithContext(sit.t.Context(), http.MethodPost, sit.server.URL+"/safe/1", strings.NewReader(body))
-	if err != nil {
-		sit.t.Fatal(err)
-	}
-	platform.EncodeRequest(req.Header, platform.Request{
-		Attempt: fmt.Sprintf("attempt-%d", sit.serial.Add(1)),
-		Wait:    2 * time.Second,
-	})
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	_ = res.Body.Close() // the status is all that counts
-	return res.StatusCode
+	return sit.postTo(sit.t.Context(), "/safe/1", strings.NewReader(body))
 }
 
 // TestCrashingRequest answers the pattern of a request that crashes each upstream which runs it, and comes again. It guards against
--- a/internal/route/fpforward/early.go
+++ b/internal/route/fpforward/early.go
@@ -17,7 +17,7 @@
 	Arrived time.Time
 	// Early is the request if it was begun before its turn, or nil.
 	Early *Early
-	// Behind reports whether a further request of the connection has been begun. Nil: none is.
+	// Behind reports whether a pipelined request behind this one has been begun. Nil: none is.
 	Behind func() bool
 }
 
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -32,7 +32,7 @@
 	start   time.Time
 	// turn is how long the request waited for the answers to those before it on its connection.
 	turn time.Duration
-	// behind reports whether a further request of the connection has been begun; nil: none is.
+	// behind reports whether a pipelined request behind this one has been begun; nil: none is.
 	behind   func() bool
 	deadline time.Time
 	route    *fpstate.Route
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -140,8 +140,8 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// leaveConnection asks the caller to open another connection when this VM stops, unless a further request on this one has been
-// begun.
+// leaveConnection asks the caller to open another connection when this VM stops, unless a pipelined request behind this one has
+// been begun.
 func (exc *exchange) leaveConnection() {
 	if exc.fwd.stopping.Load() && (exc.behind == nil || !exc.behind()) {
 		exc.writer.Header().Set("Connection", "close")
--- a/internal/route/fpforward/upload_test.go
+++ b/internal/route/fpforward/upload_test.go
@@ -52,13 +52,18 @@
 
 // upload sends a body and returns the status, or 0 without an answer.
 func (sit *site) upload(ctx context.Context, body io.Reader) int {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, sit.server.URL+"/upload/1", body)
+	return sit.postTo(ctx, "/upload/1", body)
+}
+
+// postTo sends a body to a path and returns the status, or 0 without an answer.
+func (sit *site) postTo(ctx context.Context, path string, body io.Reader) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, sit.server.URL+path, body)
 	if err != nil {
 		sit.t.Error(err)
 		return 0
 	}
 	platform.EncodeRequest(req.Header, platform.Request{
-		Attempt: fmt.Sprintf("upload-%d", sit.serial.Add(1)),
+		Attempt: fmt.Sprintf("post-%d", sit.serial.Add(1)),
 		Wait:    2 * time.Second,
 	})
 	res, err := http.DefaultClient.Do(req)
