--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -133,6 +133,9 @@
 	return append([]Run(nil), wor.runs...)
 }
 
+// Running returns the number of requests that run now.
+func (wor *Worker) Running() int { return len(wor.places) }
+
 // Arrivals returns the number of requests that have arrived, run or not.
 func (wor *Worker) Arrivals() int {
 	wor.mutex.Lock()
--- /dev/null
+++ b/internal/node/fpgate/early_test.go
@@ -0,0 +1,216 @@
+package fpgate
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+)
+
+// entry is a forwarder behind the servers of an entry VM, with one upstream.
+type entry struct {
+	t        *testing.T
+	forward  *fpforward.Forwarder
+	servers  *servers
+	upstream *fpworker.Worker
+	con      net.Conn
+	reader   *bufio.Reader
+}
+
+// newEntry returns an entry VM with a route "/safe/" and a route "/once/", whose upstream works for some time.
+func newEntry(t *testing.T, work time.Duration) *entry {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ent := &entry{
+		t: t,
+		forward: fpforward.New(fpforward.Config{
+			Region: func(string) string { return "" },
+			Promises: fpgateway.Promises{
+				RetryShare:  0.2,
+				RetryExtra:  50,
+				RetryWindow: 10 * time.Second,
+			},
+			Log: zap.NewNop(),
+		}),
+		upstream: fpworker.New(fpworker.Config{
+			Upstream: &fpstate.Upstream{
+				Id:          "one",
+				Born:        1,
+				Service:     "work",
+				Concurrency: 16,
+				Modified:    1,
+			},
+			Work:  work,
+			Queue: 4,
+		}),
+	}
+	ent.servers = newServers(lis, ent.forward)
+	ent.servers.early = ent.forward.Begin
+	served := make(chan error, 1)
+	go func() { served <- ent.servers.serve() }()
+	if err := ent.upstream.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	route := func(name string, kind fpstate.Kind) *fpstate.Route {
+		return &fpstate.Route{
+			Name:       name,
+			Host:       "a",
+			PathPrefix: "/" + name + "/",
+			Kind:       kind,
+			Timeout:    durationpb.New(5 * time.Second),
+			Objective:  durationpb.New(5 * time.Second),
+			Targets: []*fpstate.Target{{
+				Service: "work",
+				Weight:  1,
+			}},
+			MaxAttempts: 2,
+		}
+	}
+	ent.forward.Update(&fpstate.State{
+		Configuration: &fpstate.Configuration{
+			Revision: 1,
+			Routes: []*fpstate.Route{
+				route("safe", fpstate.Kind_KIND_IDEMPOTENT),
+				route("once", fpstate.Kind_KIND_ONCE),
+			},
+			Services: []*fpstate.Service{{
+				Name: "work",
+			}},
+		},
+		Upstreams: []*fpstate.Upstream{ent.upstream.Upstream()},
+	}, 1, 1)
+	ent.con, err = net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ent.reader = bufio.NewReader(ent.con)
+	t.Cleanup(func() {
+		_ = ent.con.Close() // the test may have closed it
+		_ = lis.Close()
+		<-served
+		ent.upstream.Close()
+	})
+	return ent
+}
+
+// send writes one request for each path at once.
+func (ent *entry) send(paths ...string) {
+	text := ""
+	for num, path := range paths {
+		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nFoxtailpulley-Attempt-Id: attempt-%d\r\nFoxtailpulley-Request-Deadline: 5000\r\n\r\n", path, num)
+	}
+	if _, err := io.WriteString(ent.con, text); err != nil {
+		ent.t.Fatal(err)
+	}
+}
+
+// TestPipelinedRequestsRunTogether answers the pattern of callers that pipeline look-ups. It guards against a request that waits for
+// the work of those before it, against answers out of order, and against a request that runs twice because it was begun early.
+func TestPipelinedRequestsRunTogether(t *testing.T) {
+	const count, work = 5, 200 * time.Millisecond
+	ent := newEntry(t, work)
+	var paths []string
+	for num := range count {
+		paths = append(paths, fmt.Sprintf("/safe/%d", num))
+	}
+	began := time.Now()
+	ent.send(paths...)
+	for num := range count {
+		res, err := http.ReadResponse(ent.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		want := string(fpworker.Answer(fmt.Sprintf("attempt-%d", num)))
+		if err != nil || res.StatusCode != http.StatusOK || string(body) != want {
+			t.Errorf("answer %d: status %d, the body is that of the request: %t, error %v", num, res.StatusCode, string(body) == want, err)
+		}
+	}
+	if took := time.Since(began); took > count*work*3/4 {
+		t.Errorf("%d requests of %v took %v", count, work, took)
+	}
+	if got := len(ent.upstream.Runs()); got != count {
+		t.Errorf("%d runs of %d requests", got, count)
+	}
+}
+
+// TestOnlyRepeatableRequestsAreEarly guards against a request that may run once and is begun although an answer before it may end the
+// connection.
+func TestOnlyRepeatableRequestsAreEarly(t *testing.T) {
+	const work = 200 * time.Millisecond
+	ent := newEntry(t, work)
+	ent.send("/safe/1", "/once/2", "/safe/3")
+	time.Sleep(work / 2)
+	if got := len(ent.upstream.Runs()); got != 1 {
+		t.Errorf("%d requests have begun, want the first alone", got)
+	}
+	for range 3 {
+		res, err := http.ReadResponse(ent.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("status %d, error %v", res.StatusCode, err)
+		}
+	}
+}
+
+// TestStopWithEarlyRequests guards against a planned stop that cuts off a request which has been begun behind another one, and
+// against one that is begun after the stop.
+func TestStopWithEarlyRequests(t *testing.T) {
+	const work = 300 * time.Millisecond
+	ent := newEntry(t, work)
+	ent.send("/safe/0", "/safe/1")
+	time.Sleep(work / 3)
+	ent.forward.Stop()
+	ent.send("/safe/2")
+	for num := range 2 {
+		res, err := http.ReadResponse(ent.reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", num, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("answer %d: status %d, error %v", num, res.StatusCode, err)
+		}
+		if last := num == 1; res.Close != last {
+			t.Errorf("answer %d ends the connection: %t, want %t", num, res.Close, last)
+		}
+	}
+	if _, err := ent.reader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection goes on: %v", err)
+	}
+	if got := len(ent.upstream.Runs()); got != 2 {
+		t.Errorf("%d requests ran, want the 2 that were begun before the stop", got)
+	}
+}
+
+// TestLeavingEndsEarlyRequests guards against work on requests that were begun early for a caller who has left.
+func TestLeavingEndsEarlyRequests(t *testing.T) {
+	const work = 2 * time.Second
+	ent := newEntry(t, work)
+	ent.send("/safe/0", "/safe/1", "/safe/2")
+	time.Sleep(100 * time.Millisecond)
+	_ = ent.con.Close()
+	const noticedWithin = 400 * time.Millisecond
+	ctx := t.Context()
+	end := time.Now().Add(noticedWithin)
+	for ent.upstream.Running() > 0 && time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := ent.upstream.Running(); got > 0 {
+		t.Errorf("%d requests still run %v after their caller has left", got, noticedWithin)
+	}
+}
