fpforward: reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: an answer of more than 1 MiB without a length is passed on while it comes. To a caller of HTTP/1.0 its end is the end of the connection, which the server closed in order, so that a part of the answer was taken for the whole. Ruled out: callers of HTTP/1.1, who miss the last chunk; answers with a length. Change: the connection is taken from the server and reset. Measured: TestBrokenOffAnswers fails without it (3 MiB taken for a complete answer, in chunks and until the close).

--- a/internal/node/fpgate/caller.go
+++ b/internal/node/fpgate/caller.go
@@ -229,6 +229,14 @@
 	return con.Conn.Close()
 }
 
+// SetLinger sets how the end of the connection treats what has not been sent.
+func (con *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := con.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn. It waits a little when requests that nobody will read may be under way.
 func (con *callerConn) Close() error {
 	defer con.closed()
--- /dev/null
+++ b/internal/route/fpforward/broken_test.go
@@ -0,0 +1,79 @@
+package fpforward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBrokenOffAnswers guards against an answer that breaks off halfway and reaches its caller as a complete one, whatever its length is
+// told by, for callers of both versions. The answers are longer than what is kept, so that their start has been passed on.
+func TestBrokenOffAnswers(t *testing.T) {
+	const sent = 3 << 20
+	for name, length := range map[string]string{
+		"length":          fmt.Sprintf("Content-Length: %d\r\n", 2*sent),
+		"chunks":          "Transfer-Encoding: chunked\r\n",
+		"until the close": "",
+	} {
+		for _, version := range []string{"1.0", "1.1"} {
+			t.Run(name+" "+version, func(t *testing.T) {
+				sit := newSite(t)
+				sit.breaking(length, sent)
+				con, err := net.Dial("tcp", sit.server.Listener.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = con.Close() }()
+				_ = con.SetReadDeadline(time.Now().Add(3 * time.Second)) // an answer without end fails below
+				fmt.Fprintf(con, "GET /safe/1 HTTP/%s\r\nHost: 127.0.0.1\r\nFoxtailpulley-Attempt-Id: a\r\n\r\n", version)
+				res, err := http.ReadResponse(bufio.NewReader(con), nil)
+				if err != nil {
+					return // it is visibly broken
+				}
+				size, err := io.Copy(io.Discard, res.Body)
+				if err == nil && res.StatusCode == http.StatusOK {
+					t.Errorf("the caller took %d bytes for a complete answer", size)
+				}
+			})
+		}
+	}
+}
+
+// breaking adds an upstream that breaks off its answers with a reset after a number of bytes.
+func (sit *site) breaking(length string, sent int) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		sit.t.Fatal(err)
+	}
+	sit.t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = con.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
+					return
+				}
+				head := "HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: a\r\nFoxtailpulley-Response-Signature: s\r\n" + length + "\r\n"
+				body := strings.Repeat("x", sent)
+				if strings.HasPrefix(length, "Transfer") {
+					body = fmt.Sprintf("%x\r\n%s\r\n", sent, body)
+				}
+				if _, err := io.WriteString(con, head+body); err != nil {
+					return
+				}
+				time.Sleep(200 * time.Millisecond) // the bytes arrive before the reset drops them
+				_ = con.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	sit.join("breaking", lis.Addr().String())
+}
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
@@ -131,11 +132,25 @@
 	}
 	exc.logEnd(rep.status, err)
 	if err != nil && rep.rest != nil {
-		// The caller must not take a part for the whole.
-		panic(http.ErrAbortHandler)
+		exc.breakOff(rep)
 	}
 }
 
+// breakOff ends the connection of a caller in such a way that it cannot take a part of an answer for the whole. It does not return.
+func (exc *exchange) breakOff(rep *reply) {
+	if !exc.request.ProtoAtLeast(1, 1) && rep.length < 0 {
+		// To a caller of HTTP/1.0 the end of the connection is the end of such an answer, so that it has to be reset.
+		con, _, err := http.NewResponseController(exc.writer).Hijack()
+		if lin, ok := con.(interface{ SetLinger(seconds int) error }); ok && err == nil {
+			err = errors.Join(lin.SetLinger(0), con.Close())
+		}
+		if err != nil {
+			exc.fwd.cfg.Log.Warn("a connection was not reset after a part of an answer", zap.String("id", exc.info.Attempt), zap.Error(err))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
