--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,3 +175,68 @@
 		t.Errorf("got %+v, %v, want an order whose first try may take effect later", res, err)
 	}
 }
+
+// TestEndlessAnswersToOrders guards against bytes without end, in a head or a body, that use up the memory of a control VM or hold its
+// orders.
+func TestEndlessAnswersToOrders(t *testing.T) {
+	const (
+		process = 280 << 20 // memory of a control VM in bytes
+		orders  = 200
+		slack   = 500 * time.Millisecond
+	)
+	for name, start := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nX: ",
+		"body": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = lis.Close() }()
+			go func() {
+				for {
+					con, err := lis.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = con.Close() }()
+						_, err := io.WriteString(con, start)
+						for piece := strings.Repeat("x", 4096); err == nil; {
+							_, err = io.WriteString(con, piece)
+						}
+					}()
+				}
+			}()
+			ups := &orderedUpstream{
+				server: &httptest.Server{
+					URL: "http://" + lis.Addr().String(),
+				},
+			}
+			ors := newOrders()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			ctx, cancel := context.WithTimeout(t.Context(), grantTimeout)
+			defer cancel()
+			began := time.Now()
+			var group sync.WaitGroup
+			for range orders {
+				group.Go(func() {
+					if res, err := ors.send(ctx, ups.order()); name == "head" && (err == nil || res.Answered) {
+						t.Errorf("got %+v, %v", res, err)
+					}
+				})
+			}
+			group.Wait()
+			runtime.ReadMemStats(&after)
+			if took := time.Since(began); took > grantTimeout+slack {
+				t.Errorf("the orders were held for %v, want at most %v", took, grantTimeout)
+			}
+			if grown := after.HeapInuse - min(after.HeapInuse, before.HeapInuse); grown > process/2 {
+				t.Errorf("the heap grew by %d MiB, want at most half of the %d MiB of the process", grown>>20, process>>20)
+			}
+		})
+	}
+}
