fpgate: ignore a hangup while the process stops

Cause: the duty that reloads settings unregistered SIGHUP when the process was told to stop, after which the signal has its default action. Ruled out: a panic (no line, no exit of its own), memory (38 MB at the peak), the new order of the stop (the first VMs of the same rolling restart ended in 3.1 s). Change: SIGHUP is ignored once the process stops. Measured: TestHangupWhileStopping ends the test process without it.

--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -98,7 +98,8 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		defer close(ended)
-		defer signal.Stop(hangup)
+		// While the process stops there is nothing to reload. Without this the signal would end the process at once.
+		defer signal.Ignore(syscall.SIGHUP)
 		var last time.Time
 		if inf, err := os.Stat(path); err == nil {
 			last = inf.ModTime()
