fpgate: register for hangups before the settings are read

Cause: a change of the settings in the first moments of a process ended it, because the signal was registered last. Measured: TestHangupWhileStopping covers the registration that reload gets; the start itself was not timed.

--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -30,6 +30,9 @@
 
 // Run runs the VM of a settings file until it is told to stop.
 func Run(ctx context.Context, path string, log *zap.Logger, lines *fpline.Writer) error {
+	// Until it is registered the signal ends the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	set, err := fpgateway.Load(path)
 	if err != nil {
 		return err
@@ -71,7 +74,7 @@
 		return err
 	}
 	defer func() { _ = met.Close() }()
-	reloaded := reload(ctx, path, log, func(next *fpgateway.Settings) {
+	reloaded := reload(ctx, hangup, path, log, func(next *fpgateway.Settings) {
 		if gat != nil {
 			gat.Reseed(next.Seeds())
 		}
@@ -91,11 +94,9 @@
 	return err
 }
 
-// reload reads the settings again when they change, and at SIGHUP. It closes the channel when ctx has ended.
-func reload(ctx context.Context, path string, log *zap.Logger, use func(set *fpgateway.Settings)) <-chan struct{} {
+// reload reads the settings again when they change, and at the signal. It closes the channel when ctx has ended.
+func reload(ctx context.Context, hangup <-chan os.Signal, path string, log *zap.Logger, use func(set *fpgateway.Settings)) <-chan struct{} {
 	ended := make(chan struct{})
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	go func() {
 		defer close(ended)
 		// While the process stops there is nothing to reload. Without this the signal would end the process at once.
--- a/internal/node/fpgate/run_test.go
+++ b/internal/node/fpgate/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -21,7 +22,9 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := reload(ctx, path, zap.NewNop(), func(*fpgateway.Settings) {})
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ended := reload(ctx, hangup, path, zap.NewNop(), func(*fpgateway.Settings) {})
 	cancel()
 	<-ended
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
