--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // orderedUpstream is an upstream that counts its connections.
@@ -133,8 +134,11 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = lis.Close() }()
-	const answer, second = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nFoxtailpulley-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	second := "HTTP/1.1 200 OK\r\n" + platform.AnswerLines(platform.Answer{
+		Attempt: "a",
+		Signed:  true,
+	}) + "Content-Length: 2\r\n\r\nok"
 	go func() {
 		for {
 			con, err := lis.Accept()
--- a/internal/node/fpgate/early_test.go
+++ b/internal/node/fpgate/early_test.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // entry is a forwarder behind the servers of an entry VM, with one upstream.
@@ -110,7 +111,10 @@
 func (ent *entry) send(paths ...string) {
 	text := ""
 	for num, path := range paths {
-		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\nFoxtailpulley-Attempt-Id: attempt-%d\r\nFoxtailpulley-Request-Deadline: 5000\r\n\r\n", path, num)
+		text += fmt.Sprintf("GET %s HTTP/1.1\r\nHost: a\r\n%s\r\n", path, platform.RequestLines(platform.Request{
+			Attempt: fmt.Sprintf("attempt-%d", num),
+			Wait:    5 * time.Second,
+		}))
 	}
 	if _, err := io.WriteString(ent.con, text); err != nil {
 		ent.t.Fatal(err)
--- a/internal/route/fpforward/broken_test.go
+++ b/internal/route/fpforward/broken_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // TestBrokenOffAnswers guards against an answer that breaks off halfway and reaches its caller as a complete one, whatever its length is
@@ -30,7 +32,10 @@
 				}
 				defer func() { _ = con.Close() }()
 				_ = con.SetReadDeadline(time.Now().Add(3 * time.Second)) // an answer without end fails below
-				fmt.Fprintf(con, "GET /safe/1 HTTP/%s\r\nHost: 127.0.0.1\r\nFoxtailpulley-Attempt-Id: a\r\n\r\n", version)
+				fmt.Fprintf(con, "GET /safe/1 HTTP/%s\r\nHost: 127.0.0.1\r\n%s\r\n", version, platform.RequestLines(platform.Request{
+					Attempt: "a",
+					Wait:    2 * time.Second,
+				}))
 				res, err := http.ReadResponse(bufio.NewReader(con), nil)
 				if err != nil {
 					return // it is visibly broken
@@ -62,7 +67,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
 					return
 				}
-				head := "HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: a\r\nFoxtailpulley-Response-Signature: s\r\n" + length + "\r\n"
+				head := "HTTP/1.1 200 OK\r\n" + signedLines("a") + length + "\r\n"
 				body := strings.Repeat("x", sent)
 				if strings.HasPrefix(length, "Transfer") {
 					body = fmt.Sprintf("%x\r\n%s\r\n", sent, body)
--- a/internal/route/fpforward/endless_test.go
+++ b/internal/route/fpforward/endless_test.go
@@ -19,6 +19,22 @@
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
+// signedLines returns the header lines of an upstream's own answer.
+func signedLines(attempt string) string {
+	return platform.AnswerLines(platform.Answer{
+		Attempt: attempt,
+		Signed:  true,
+	})
+}
+
+// notRun returns the head of an answer that says that the request did not run.
+func notRun(attempt string) string {
+	return "HTTP/1.1 503 Full\r\n" + platform.AnswerLines(platform.Answer{
+		Attempt: attempt,
+		NotRun:  true,
+	}) + "\r\n"
+}
+
 // endless adds an upstream that answers each request with a start and then with bytes until the connection is closed.
 func (sit *site) endless(id string, start func(attempt string) string, piece string) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,7 +75,7 @@
 	)
 	okay := func(headers string) func(attempt string) string {
 		return func(attempt string) string {
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: %s\r\nFoxtailpulley-Response-Signature: s\r\n%s", attempt, headers)
+			return "HTTP/1.1 200 OK\r\n" + signedLines(attempt) + headers
 		}
 	}
 	for name, test := range map[string]struct {
@@ -75,7 +91,7 @@
 		"chunk extensions":   {start: okay("Transfer-Encoding: chunked\r\n\r\n1000;"), piece: strings.Repeat("x", 4096)},
 		"trailers":           {start: okay("Transfer-Encoding: chunked\r\n\r\n0\r\n"), piece: "X-More: " + strings.Repeat("x", 1000) + "\r\n"},
 		"behind the answer":  {start: okay("Content-Length: 2\r\n\r\nok"), piece: strings.Repeat("x", 4096)},
-		"no run, then bytes": {start: func(string) string { return "HTTP/1.1 503 Full\r\nFoxtailpulley-Not-Executed: 1\r\n\r\n" }, piece: strings.Repeat("x", 4096)},
+		"no run, then bytes": {start: notRun, piece: strings.Repeat("x", 4096)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sit := newSiteWith(t, func(cfg *Config) { cfg.Memory = process })
--- a/internal/route/fpforward/upload_test.go
+++ b/internal/route/fpforward/upload_test.go
@@ -299,8 +299,7 @@
 		if err != nil {
 			return
 		}
-		fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nFoxtailpulley-Attempt-Id: %s\r\nFoxtailpulley-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok",
-			platform.DecodeRequest(req.Header).Attempt)
+		fmt.Fprintf(con, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", signedLines(platform.DecodeRequest(req.Header).Attempt))
 		time.Sleep(100 * time.Millisecond) // the answer arrives long before the rest is read
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
