--- a/internal/route/fpforward/broken_test.go
+++ b/internal/route/fpforward/broken_test.go
@@ -51,34 +51,15 @@
 
 // breaking adds an upstream that breaks off its answers with a reset after a number of bytes.
 func (sit *site) breaking(length string, sent int) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		sit.t.Fatal(err)
-	}
-	sit.t.Cleanup(func() { _ = lis.Close() })
-	go func() {
-		for {
-			con, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = con.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
-					return
-				}
-				head := "HTTP/1.1 200 OK\r\n" + signedLines("a") + length + "\r\n"
-				body := strings.Repeat("x", sent)
-				if strings.HasPrefix(length, "Transfer") {
-					body = fmt.Sprintf("%x\r\n%s\r\n", sent, body)
-				}
-				if _, err := io.WriteString(con, head+body); err != nil {
-					return
-				}
-				time.Sleep(200 * time.Millisecond) // the bytes arrive before the reset drops them
-				_ = con.(*net.TCPConn).SetLinger(0)
-			}()
+	sit.raw("breaking", func(con net.Conn, attempt string) {
+		body := strings.Repeat("x", sent)
+		if strings.HasPrefix(length, "Transfer") {
+			body = fmt.Sprintf("%x\r\n%s\r\n", sent, body)
+		}
+		if _, err := io.WriteString(con, "HTTP/1.1 200 OK\r\n"+signedLines(attempt)+length+"\r\n"+body); err != nil {
+			return
 		}
-	}()
-	sit.join("breaking", lis.Addr().String())
+		time.Sleep(200 * time.Millisecond) // the bytes arrive before the reset drops them
+		_ = con.(*net.TCPConn).SetLinger(0)
+	})
 }
--- a/internal/route/fpforward/endless_test.go
+++ b/internal/route/fpforward/endless_test.go
@@ -35,8 +35,8 @@
 	}) + "\r\n"
 }
 
-// endless adds an upstream that answers each request with a start and then with bytes until the connection is closed.
-func (sit *site) endless(id string, start func(attempt string) string, piece string) {
+// raw adds an upstream that reads one request on each connection and leaves the connection to a function.
+func (sit *site) raw(id string, talk func(con net.Conn, attempt string)) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		sit.t.Fatal(err)
@@ -50,13 +50,8 @@
 			}
 			go func() {
 				defer func() { _ = con.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(con))
-				if err != nil {
-					return
-				}
-				_, err = io.WriteString(con, start(platform.DecodeRequest(req.Header).Attempt))
-				for err == nil {
-					_, err = io.WriteString(con, piece)
+				if req, err := http.ReadRequest(bufio.NewReader(con)); err == nil {
+					talk(con, platform.DecodeRequest(req.Header).Attempt)
 				}
 			}()
 		}
@@ -64,6 +59,16 @@
 	sit.join(id, lis.Addr().String())
 }
 
+// endless adds an upstream that answers each request with a start and then with bytes until the connection is closed.
+func (sit *site) endless(id string, start func(attempt string) string, piece string) {
+	sit.raw(id, func(con net.Conn, attempt string) {
+		_, err := io.WriteString(con, start(attempt))
+		for err == nil {
+			_, err = io.WriteString(con, piece)
+		}
+	})
+}
+
 // TestEndlessAnswers guards against bytes without end, in a head or in a body, that use up the memory of an entry VM, reach a
 // caller as a complete answer, or hold a request.
 func TestEndlessAnswers(t *testing.T) {
