--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -78,11 +79,14 @@
 
 	mutex    sync.Mutex
 	runs     []Run
-	arrivals int
+	arrivals []time.Time
 	waiting  int
-	holdings []holding
-	sequence uint64
-	server   *http.Server
+	// rate is the text of the request rate that the worker names in its answers, if namesRate is set.
+	rate      string
+	namesRate bool
+	holdings  []holding
+	sequence  uint64
+	server    *http.Server
 }
 
 // holding is a range of keys that the worker holds until a time.
@@ -141,7 +145,28 @@
 func (wor *Worker) Arrivals() int {
 	wor.mutex.Lock()
 	defer wor.mutex.Unlock()
-	return wor.arrivals
+	return len(wor.arrivals)
+}
+
+// ArrivalTimes returns when each request arrived, run or not, in order.
+func (wor *Worker) ArrivalTimes() []time.Time {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	return slices.Clone(wor.arrivals)
+}
+
+// NameRate makes the worker name a request rate for all VMs together in all later answers.
+func (wor *Worker) NameRate(text string) {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	wor.rate, wor.namesRate = text, true
+}
+
+// StopNamingRate ends NameRate.
+func (wor *Worker) StopNamingRate() {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	wor.namesRate = false
 }
 
 // ServeHTTP implements http.Handler. It handles orders of control VMs and requests.
@@ -152,7 +177,7 @@
 	}
 	info := platform.DecodeRequest(req.Header)
 	wor.mutex.Lock()
-	wor.arrivals++
+	wor.arrivals = append(wor.arrivals, time.Now())
 	wor.mutex.Unlock()
 	if target := platform.DecodeTarget(req.Header); target != "" && target != wor.cfg.Upstream.GetId() || !wor.mayRun(info) {
 		wor.refuse(wri, info, http.StatusMisdirectedRequest)
@@ -301,14 +326,25 @@
 	}
 }
 
-// refuse answers with a status and the statement that the request did not run.
-func (wor *Worker) refuse(wri http.ResponseWriter, info platform.Request, status int) {
-	platform.EncodeAnswer(wri.Header(), platform.Answer{
+// answer returns the headers of the answer to a request, with the current load and the rate that the worker names.
+func (wor *Worker) answer(info platform.Request) platform.Answer {
+	loa := wor.load()
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	return platform.Answer{
 		Attempt: info.Attempt,
-		NotRun:  true,
-		Load:    wor.load(),
+		Load:    loa,
 		HasLoad: true,
-	})
+		Rate:    wor.rate,
+		HasRate: wor.namesRate,
+	}
+}
+
+// refuse answers with a status and the statement that the request did not run.
+func (wor *Worker) refuse(wri http.ResponseWriter, info platform.Request, status int) {
+	ans := wor.answer(info)
+	ans.NotRun = true
+	platform.EncodeAnswer(wri.Header(), ans)
 	wri.WriteHeader(status)
 }
 
@@ -331,12 +367,8 @@
 	case <-req.Context().Done():
 		return
 	}
-	ans := platform.Answer{
-		Attempt: info.Attempt,
-		Signed:  fault != Unsigned,
-		Load:    wor.load(),
-		HasLoad: true,
-	}
+	ans := wor.answer(info)
+	ans.Signed = fault != Unsigned
 	switch fault {
 	case Reset:
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/node/fpgate/rate_test.go
@@ -0,0 +1,228 @@
+package fpgate
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
+	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
+	"github.com/foxtailpulley/foxtailpulley/internal/node/fpcontrol"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
+)
+
+// deployment is a control VM and entry VMs in this process.
+type deployment struct {
+	t       *testing.T
+	control string
+	gates   []*Gate
+	entries []string // addresses for callers
+	client  *http.Client
+	last    atomic.Int64 // number of the last attempt
+}
+
+// startDeployment starts a control VM and entry VMs with a route to the service s, at the path /.
+func startDeployment(t *testing.T, entries int, keyed bool) *deployment {
+	dep := &deployment{
+		t:       t,
+		control: freeAddress(t),
+		client: &http.Client{
+			Timeout: 2 * time.Second,
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 64,
+			},
+		},
+	}
+	con, err := fpcontrol.New(fpcontrol.Config{
+		VM:         dep.control,
+		Seeds:      []string{dep.control},
+		FirstStart: true,
+		DataFolder: filepath.Join(t.TempDir(), "control"),
+		DataCentre: "a",
+		Region:     "r",
+		Log:        zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := []<-chan error{con.Run(ctx)}
+	for num := range entries {
+		address := freeAddress(t)
+		set, err := fpgateway.Parse(fmt.Appendf(nil, `{"vm":"entry-%d","dataCentre":"a","region":"r","regions":{"a":"r"},"seeds":[%q],
+			"listen":{"callers":%q,"ready":%q},"promises":{"stop":"1s"}}`, num, dep.control, address, freeAddress(t)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		gat := New(set, zap.NewNop())
+		dep.gates = append(dep.gates, gat)
+		dep.entries = append(dep.entries, address)
+		ended = append(ended, gat.Run(ctx))
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, done := range ended {
+			if err := <-done; err != nil {
+				t.Errorf("a VM ended: %v", err)
+			}
+		}
+	})
+	operator := &platform.ControlClient{
+		Client: dep.client,
+	}
+	document := fmt.Appendf(nil, `{"version":1,"routes":[{"name":"r","hostname":"a","path_prefix":"/","kind":"safe","service":"s","timeout":"1s",
+		"slo":"400ms","max_attempts":2}],"services":[{"name":"s","sharded":%t}]}`, keyed)
+	dep.waitFor("the configuration is accepted", func() bool { return operator.Put(t.Context(), dep.control, document) == nil })
+	return dep
+}
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+// waitFor waits until a condition holds. It fails the test after 15 s.
+func (dep *deployment) waitFor(what string, condition func() bool) {
+	dep.t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	dep.t.Fatalf("condition not met within 15 s: %s", what)
+}
+
+// addWorker starts a worker of the service, which announces itself until the test ends.
+func (dep *deployment) addWorker(id string, keyed bool) *fpworker.Worker {
+	wor := fpworker.New(fpworker.Config{
+		Upstream: &fpstate.Upstream{
+			Id:          id,
+			Born:        1,
+			Service:     "s",
+			DataCentre:  "a",
+			Concurrency: 32,
+		},
+		Keyed:       keyed,
+		ServiceTime: 5 * time.Millisecond,
+		Queue:       64,
+	})
+	if err := wor.Listen(); err != nil {
+		dep.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	dep.t.Cleanup(func() {
+		cancel()
+		wor.Close()
+	})
+	go wor.Announce(ctx, dep.client, []string{dep.control}, 200*time.Millisecond)
+	return wor
+}
+
+// send sends one request to an entry VM and returns the status and Retry-After of its answer; the status is 0 without one.
+func (dep *deployment) send(entry int, key uint32) (status int, after string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+dep.entries[entry]+"/", nil)
+	if err != nil {
+		dep.t.Error(err)
+		return 0, ""
+	}
+	req.Host = "a"
+	platform.EncodeRequest(req.Header, platform.Request{
+		Attempt: fmt.Sprint("attempt-", dep.last.Add(1)),
+		Timeout: time.Second,
+		Key:     key,
+		Keyed:   true,
+	})
+	res, err := dep.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	_ = res.Body.Close()
+	return res.StatusCode, res.Header.Get("Retry-After")
+}
+
+// load sends requests with random keys to the given entry VMs for a time, each at a rate per second, and returns the number
+// of answers by status.
+func (dep *deployment) load(entries []int, rate int, length time.Duration) map[int]int {
+	var mutex sync.Mutex
+	statuses := map[int]int{}
+	var wgr sync.WaitGroup
+	for _, entry := range entries {
+		wgr.Go(func() {
+			tick := time.NewTicker(time.Second / time.Duration(rate))
+			defer tick.Stop()
+			for num := range int(length.Seconds() * float64(rate)) {
+				<-tick.C
+				wgr.Go(func() {
+					status, _ := dep.send(entry, uint32((num*40503+entry*9973)%65536))
+					mutex.Lock()
+					defer mutex.Unlock()
+					statuses[status]++
+				})
+			}
+		})
+	}
+	wgr.Wait()
+	return statuses
+}
+
+// mostInWindow returns the largest number of times in any span of a length, of those after a moment.
+func mostInWindow(times []time.Time, after time.Time, length time.Duration) int {
+	most, first := 0, 0
+	for pos, at := range times {
+		if !at.After(after) {
+			first = pos + 1
+			continue
+		}
+		for at.Sub(times[first]) > length {
+			first++
+		}
+		most = max(most, pos-first+1)
+	}
+	return most
+}
+
+// allEntries returns the numbers of all entry VMs.
+func (dep *deployment) allEntries() []int {
+	var all []int
+	for num := range dep.entries {
+		all = append(all, num)
+	}
+	return all
+}
+
+// TestUpstreamRateHoldsForAllVMs guards against an upstream that gets more requests than the rate that it names for all VMs
+// together, because no VM reads the rate or each VM keeps it alone. The bound is that of rule LIMIT: in any 4 s, one and a half
+// times the rate and 5 requests, from half a second after the answers that name it.
+func TestUpstreamRateHoldsForAllVMs(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keyed=%t", keyed), func(t *testing.T) {
+			t.Parallel()
+			const rate = 6
+			dep := startDeployment(t, 5, keyed)
+			wor := dep.addWorker("w-1", keyed)
+			dep.waitFor("requests are served", func() bool { status, _ := dep.send(0, 1); return status == http.StatusOK })
+			dep.load(dep.allEntries(), 20, time.Second)
+			wor.NameRate(fmt.Sprint(rate))
+			named := time.Now()
+			statuses := dep.load(dep.allEntries(), 20, 7*time.Second)
+			got, bound := mostInWindow(wor.ArrivalTimes(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5
+			if got > bound {
+				t.Errorf("the upstream got %d requests in 4 s, want at most %d at %d a second; answers by status: %v", got, bound, rate, statuses)
+			}
+		})
+	}
+}
