fprate: keep the request rate that an upstream names for all entry VMs together

Cause: no VM read the header Server-Limit; the only bounds on requests to an upstream were a number of connections and of running requests, which each VM keeps alone.

Change: entry VMs record what answers state, ordered by when the requests were sent. Every attempt, first or later, takes a token (fpforward.takeRate). A VM that has no contact with the leader uses an equal share, which the leader reserves for it. Requests without a token go to other upstreams of the service, or are refused at once with the time in which the leader expects tokens. The keeper takes the rate for the capacity of a holder of keys and moves some away.

--- a/internal/control/fpkeeper/balance.go
+++ b/internal/control/fpkeeper/balance.go
@@ -124,6 +124,11 @@
 			ups:      ups,
 			capacity: speedFactor * float64(weight(ups)) / seconds,
 		}
+		if vie.NamedRate != nil {
+			if perSecond, limited := vie.NamedRate(ups); limited {
+				usg.capacity = min(usg.capacity, perSecond)
+			}
+		}
 		byID[ups.GetId()] = usg
 		all = append(all, usg)
 	}
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -137,6 +137,9 @@
 	MaxRequestTime time.Duration
 	// AtAddress returns the upstream of any service with this address that has not left, or nil.
 	AtAddress func(address string) *fpstate.Upstream
+	// NamedRate returns the requests per second that an upstream takes from all VMs together, and false if it has named no
+	// rate. Nil means that none has.
+	NamedRate func(ups *fpstate.Upstream) (perSecond float64, limited bool)
 }
 
 // rangeID identifies a range by its first key, fence and phase.
--- a/internal/node/fpcontrol/announcements.go
+++ b/internal/node/fpcontrol/announcements.go
@@ -122,6 +122,7 @@
 			continue
 		}
 		pending := con.announcements.unrelayed()
+		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		res, err := con.peer(leader).Announce(call, connect.NewRequest(&fpstate.AnnounceRequest{
 			Announcements: pending,
@@ -135,5 +136,6 @@
 		}
 		con.announcements.markRelayed(pending)
 		con.followers.setTotal(res.Msg.GetEntries())
+		con.mergeRates(sent, res.Msg.GetRates())
 	}
 }
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -21,6 +21,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fplog"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
@@ -88,6 +89,8 @@
 	followers     *followers
 	announcements *announcements
 	metrics       metrics
+	// rates holds the request rates that upstreams have named for all entry VMs together.
+	rates *fprate.Pool
 	// quarantine counts the upstream crashes of requests while this VM leads.
 	quarantine quarantine
 	// initialState is the state that this VM stored before it started, or nil.
@@ -112,6 +115,7 @@
 		orders:        newOrderSender(),
 		followers:     newFollowers(),
 		announcements: newAnnouncements(),
+		rates:         fprate.NewPool(),
 		seeds:         cfg.Seeds,
 		peers:         map[string]fpstateconnect.StateServiceClient{},
 		lastContact:   map[string]time.Time{},
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -206,6 +206,7 @@
 			Upstreams:      con.directory.Upstreams(ser.GetName()),
 			Lookup:         con.directory.Upstream,
 			AtAddress:      con.directory.AtAddress,
+			NamedRate:      con.namedRate,
 			MaxRequestTime: maxRequestTime(con.directory.Configuration(), ser.GetName()),
 			LastSeen: func(ups *fpstate.Upstream) time.Time {
 				at, _ := con.announcements.lastSeen(ups)
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -163,6 +163,7 @@
 		Entries:    con.followers.sum(),
 		DataCentre: con.cfg.DataCentre,
 		Region:     con.cfg.Region,
+		Rates:      con.encodedRates(),
 	}
 	group := con.group.Status()
 	res.Leader = group.Leader
@@ -209,6 +210,7 @@
 	return connect.NewResponse(&fpstate.AnnounceResponse{
 		Leader:  con.group.Status().Leader,
 		Entries: con.followers.report(req.Msg.GetVm(), req.Msg.GetEntries()),
+		Rates:   con.encodedRates(),
 	}), nil
 }
 
@@ -222,10 +224,12 @@
 	}), nil
 }
 
-// Report adds the load and the crashes that an entry VM reports.
-func (ser *service) Report(_ context.Context, req *connect.Request[fpstate.ReportRequest]) (*connect.Response[fpstate.ReportResponse], error) {
+// Report adds the load and the crashes that an entry VM reports, and gives it tokens for limited upstreams.
+func (ser *service) Report(ctx context.Context, req *connect.Request[fpstate.ReportRequest]) (*connect.Response[fpstate.ReportResponse], error) {
 	ser.con.handleReport(req.Msg)
-	return connect.NewResponse(&fpstate.ReportResponse{
+	res := &fpstate.ReportResponse{
 		Leader: ser.con.group.Status().Leader,
-	}), nil
+	}
+	ser.con.grantRates(ctx, req.Msg, res)
+	return connect.NewResponse(res), nil
 }
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
@@ -154,6 +155,7 @@
 // pollResult is the result of a poll of the control VM at address.
 type pollResult struct {
 	address string
+	sentAt  time.Time
 	res     *fpstate.WatchResponse
 	err     error
 }
@@ -196,6 +198,7 @@
 func (wat *watcher) fetch(ctx context.Context, address string, wait time.Duration) pollResult {
 	por := pollResult{
 		address: address,
+		sentAt:  time.Now(),
 	}
 	res, err := wat.clientOf(address).Watch(ctx, connect.NewRequest(&fpstate.WatchRequest{
 		Vm:    wat.vm,
@@ -300,6 +303,7 @@
 	wat.pollMargin = max(minPollMargin, wat.pollMargin/2)
 	before := wat.forwarder.Configuration().GetRevision()
 	wat.forwarder.Update(por.res.GetState(), por.res.GetIndex(), por.res.GetEntries())
+	wat.forwarder.Rates().Learn(fprate.DecodeStatements(por.sentAt, por.res.GetRates()))
 	if after := wat.forwarder.Configuration().GetRevision(); after != before {
 		wat.log.Info("configuration in force", zap.Uint64("revision", after), zap.Uint64("before", before),
 			zap.Uint64("index", por.res.GetIndex()), zap.String("peer", por.address))
@@ -316,32 +320,63 @@
 	}
 }
 
-// report sends the counted load and the crashes to the leader every reportInterval until ctx ends. While no leader is known,
-// the counted load is dropped and the crashes are kept.
+// report sends the counted load, the crashes and the statements about request rates to the leader every reportInterval until
+// ctx ends, and acquires tokens. While no leader is known, the counted load is dropped and the rest is kept.
 func (wat *watcher) report(ctx context.Context) {
-	for sleep(ctx, reportInterval) {
+	rates := wat.forwarder.Rates()
+	nextLoad := time.Now().Add(reportInterval)
+	for wat.awaitReport(ctx, time.Until(nextLoad)) {
 		wat.mutex.Lock()
 		leader := wat.leader
 		wat.mutex.Unlock()
-		counts := wat.forwarder.TakeLoad()
+		var counts []*fpstate.KeyCount
+		if !time.Now().Before(nextLoad) {
+			nextLoad = time.Now().Add(reportInterval)
+			counts = wat.forwarder.TakeLoad()
+		}
 		if leader == "" {
 			continue
 		}
 		crashes, cleared := wat.forwarder.TakeCrashes()
-		if len(counts)+len(crashes)+len(cleared) == 0 {
+		cal := rates.NewCall(time.Now())
+		if len(counts)+len(crashes)+len(cleared) == 0 && cal.Empty() {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		_, err := wat.clientOf(leader).Report(callCtx, connect.NewRequest(&fpstate.ReportRequest{
+		res, err := wat.clientOf(leader).Report(callCtx, connect.NewRequest(&fpstate.ReportRequest{
 			Vm:      wat.vm,
 			Counts:  counts,
 			Period:  durationpb.New(reportInterval),
 			Crashes: crashes,
 			Cleared: cleared,
+			Rates:   fprate.EncodeStatements(cal.SentAt, cal.Statements),
+			Asks:    fprate.EncodeAsks(cal.Asks),
 		}))
 		cancel()
 		if err != nil {
-			wat.log.Debug("load report failed", zap.String("peer", leader), zap.Error(err))
+			wat.log.Debug("report failed", zap.String("peer", leader), zap.Error(err))
+			continue
 		}
+		if res.Msg.GetLeads() {
+			rates.Finish(cal, time.Now(), fprate.DecodeGrants(res.Msg.GetGrants()), fprate.DecodeStatements(cal.SentAt, res.Msg.GetRates()))
+		}
+	}
+}
+
+// awaitReport waits until the next report is due: after the given time, or earlier if a request waits for a token. It returns
+// false when ctx ends before.
+func (wat *watcher) awaitReport(ctx context.Context, due time.Duration) bool {
+	gap := min(reportInterval, fprate.CallGap(wat.forwarder.Entries()))
+	if !sleep(ctx, min(due, gap)) {
+		return false
+	}
+	timer := time.NewTimer(due - gap)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-wat.forwarder.Rates().Wanted():
 	}
+	return true
 }
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -94,11 +94,17 @@
 	if length := exc.request.ContentLength; length >= 0 && length < longBody {
 		return nil
 	}
+	var cho choice
 	var err error
 	if exc.keyed {
-		_, err = exc.findOwner()
+		cho, err = exc.findOwner()
 	} else {
-		_, err = exc.chooseAny()
+		cho, err = exc.chooseAny()
+	}
+	if err == nil && exc.fwd.rates.Exhausted(time.Now(), cho.member.rateKey(), !exc.lowPriority) {
+		return exc.takeRate(exc.request.Context(), choice{
+			member: cho.member,
+		})
 	}
 	if fperror.Is(err, fperror.NoOwner) {
 		return nil // the key may have an owner once the body has arrived
--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
@@ -69,6 +70,9 @@
 	member   *member
 	state    memberState
 	keyRange *fpstate.Range
+	// waitForRate states that no other upstream can take the request, so that it waits for a token if the upstream has named
+	// a request rate.
+	waitForRate bool
 }
 
 // choose returns the upstream for the next attempt. The error kinds are NoOwner, NoUpstream, Overloaded and
@@ -132,6 +136,8 @@
 		member:   mem,
 		state:    mem.state(now),
 		keyRange: ran,
+
+		waitForRate: true,
 	}
 	if !cho.state.usable {
 		return cho, fperror.New(fperror.NoUpstream, "upstream %s, which owns key %d, is held down after a failure", mem.upstream.GetId(), exc.info.Key)
@@ -142,22 +148,38 @@
 	return cho, exc.admit(now, cho.state)
 }
 
-// chooseAny returns the upstream with the lowest cost.
+// chooseAny returns the upstream with the lowest cost. One that has named a request rate and has no token left is chosen only
+// if there is no other.
 func (exc *exchange) chooseAny() (choice, error) {
 	vie := exc.fwd.view.Load()
 	now := time.Now()
+	all := exc.candidates(vie, now)
+	best := exc.cheapest(all)
+	for first := best; best.member != nil && !exc.fwd.rates.Ready(now, best.member.rateKey(), !exc.lowPriority); {
+		all = slices.DeleteFunc(all, func(cho choice) bool { return cho.member == best.member })
+		if best = exc.cheapest(all); best.member == nil {
+			best = first
+			best.waitForRate = true
+			break
+		}
+	}
+	if best.member == nil {
+		return best, fperror.New(fperror.NoUpstream, "none of %d upstreams of service %s can be used", len(vie.services[exc.service]), exc.service)
+	}
+	return best, exc.admit(now, best.state)
+}
+
+// cheapest returns the choice with the lowest cost, or none.
+func (exc *exchange) cheapest(all []choice) choice {
 	var best choice
 	lowestCost := time.Duration(-1)
-	for _, cho := range exc.candidates(vie, now) {
+	for _, cho := range all {
 		if cost := exc.cost(cho.member, cho.state); lowestCost < 0 || cost < lowestCost {
 			lowestCost = cost
 			best = cho
 		}
 	}
-	if best.member == nil {
-		return best, fperror.New(fperror.NoUpstream, "none of %d upstreams of service %s can be used", len(vie.services[exc.service]), exc.service)
-	}
-	return best, exc.admit(now, best.state)
+	return best
 }
 
 // candidates returns the upstreams of the service that may be chosen for the request.
@@ -281,7 +303,7 @@
 
 // retryAfter returns how long a caller that was refused should wait before it retries.
 func (exc *exchange) retryAfter(kin fperror.Kind) time.Duration {
-	minDelay := minRetryAfter
+	minDelay := max(minRetryAfter, exc.rateWait)
 	if kin == fperror.NoUpstream {
 		minDelay = retryAfterOutage
 	}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -65,6 +65,8 @@
 	fallback *reply
 	// answerBegun states that a part of the answer may have been sent to the caller.
 	answerBegun bool
+	// rateWait is when the chosen upstream, which has named a request rate, is expected to take requests again.
+	rateWait time.Duration
 	// ownerFull states that the owner of the key has refused the request because its queue is full.
 	ownerFull bool
 }
@@ -275,6 +277,15 @@
 // attempt sends the request to one upstream. A nil error means that the answer is for the caller.
 func (exc *exchange) attempt(ctx context.Context, cho choice) (*reply, error) {
 	mem := cho.member
+	if err := exc.takeRate(ctx, cho); err != nil {
+		return nil, err
+	}
+	sent := false
+	defer func() {
+		if !sent {
+			exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
+		}
+	}()
 	con := mem.connections.Get(time.Now())
 	if con == nil && mem.connectPaused(time.Now()) {
 		exc.tried[mem] = true
@@ -303,14 +314,17 @@
 	if !con.Used() {
 		exc.fwd.counters.add("connections")
 	}
+	sent = true
 	exc.arrivals++
 	exc.runs++
 	exc.tried[mem] = true
 	mem.beginRequest()
 	mem.scheduleExploration(exc.fwd.exploreDelay())
 	tim := newProcessingTimer(time.Now())
+	sentAt := time.Now()
 	rep, err := exc.send(tim.trace(ctx, len(exc.body)), mem, con)
 	mem.endRequest()
+	exc.observeRate(mem, sentAt, rep, err)
 	took := tim.elapsed(time.Now())
 	exc.fwd.counters.observe("upstream", took)
 	if err != nil && con.Crashed() {
@@ -337,6 +351,31 @@
 	return nil, err
 }
 
+// takeRate takes a token if the upstream has named a request rate. Without one, the error is of kind Overloaded.
+func (exc *exchange) takeRate(ctx context.Context, cho choice) error {
+	ok, wait := exc.fwd.rates.Take(ctx, cho.member.rateKey(), !exc.lowPriority, cho.waitForRate)
+	if ok {
+		return nil
+	}
+	exc.tried[cho.member] = true
+	exc.rateWait = wait
+	exc.fwd.counters.add("rateRefused")
+	return fperror.New(fperror.Overloaded, "upstream %s gets no more requests than the rate that it names", cho.member.upstream.GetId())
+}
+
+// observeRate records the request rate that an upstream names in an answer, or that it names none. Status 421 may come from
+// another upstream at the same address, and only a signed answer that is complete ends a rate.
+func (exc *exchange) observeRate(mem *member, sentAt time.Time, rep *reply, err error) {
+	if rep == nil || rep.answer.Attempt != exc.info.Attempt || rep.status == http.StatusMisdirectedRequest {
+		return
+	}
+	if rep.answer.HasRate {
+		exc.fwd.rates.Observe(mem.rateKey(), sentAt, rep.answer.Rate)
+	} else if err == nil && rep.answer.Signed {
+		exc.fwd.rates.ObserveNone(mem.rateKey(), sentAt)
+	}
+}
+
 // openConnection opens a connection to an upstream. If the upstream may be full, it also waits for a reset. The error kinds
 // are ConnectFailed and Overloaded, and both mean that nothing was sent.
 func (exc *exchange) openConnection(ctx context.Context, cho choice) (*fpconn.ExclusiveConn, error) {
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fproute"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -61,7 +62,9 @@
 	// quarantine holds the requests that are refused or suspected because upstreams crashed while they ran them.
 	quarantine *fpquarantine.List
 	crashes    crashReports
-	stopping   atomic.Bool
+	// rates admits requests to upstreams that have named a request rate for all entry VMs together.
+	rates    *fprate.Limiter
+	stopping atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
 	entries atomic.Uint32
 
@@ -118,6 +121,7 @@
 		splits:  map[string]*splitter{},
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	fwd.rates = fprate.NewLimiter(fwd.entries.Load)
 	fwd.counters.init()
 	fwd.entries.Store(1)
 	fwd.view.Store(&view{
@@ -207,8 +211,7 @@
 		}
 		if ups.GetGone() || ups.GetLeaving() {
 			if mem := fwd.members[inc]; mem != nil && ups.GetGone() {
-				mem.connections.Close()
-				delete(fwd.members, inc)
+				fwd.remove(inc, mem)
 			}
 			continue
 		}
@@ -224,8 +227,7 @@
 	for inc, mem := range fwd.members {
 		if ups := next.upstreams[inc.id]; ups.GetBorn() != inc.born {
 			fwd.recordCrash(mem, time.Now())
-			mem.connections.Close()
-			delete(fwd.members, inc)
+			fwd.remove(inc, mem)
 		}
 	}
 	next.dataCentres = len(dataCentres)
@@ -234,6 +236,13 @@
 	fwd.changed = make(chan struct{})
 }
 
+// remove removes a member that is no longer used. The caller holds the mutex.
+func (fwd *Forwarder) remove(inc incarnation, mem *member) {
+	mem.connections.Close()
+	fwd.rates.Forget(mem.rateKey())
+	delete(fwd.members, inc)
+}
+
 // viewChanged returns a channel that is closed when the view changes. Get it before reading the view, so that no change is
 // missed.
 func (fwd *Forwarder) viewChanged() <-chan struct{} {
@@ -253,6 +262,12 @@
 	return nil
 }
 
+// Entries returns the number of entry VMs.
+func (fwd *Forwarder) Entries() uint32 { return fwd.entries.Load() }
+
+// Rates returns the limiter of requests to upstreams that have named a request rate.
+func (fwd *Forwarder) Rates() *fprate.Limiter { return fwd.rates }
+
 // Ready reports whether requests can be served: a configuration and at least one upstream are known.
 func (fwd *Forwarder) Ready() bool {
 	vie := fwd.view.Load()
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
@@ -145,6 +146,14 @@
 	return 0
 }
 
+// rateKey returns the key of the upstream in the limiter of request rates.
+func (mem *member) rateKey() fprate.Incarnation {
+	return fprate.Incarnation{
+		ID:   mem.upstream.GetId(),
+		Born: mem.upstream.GetBorn(),
+	}
+}
+
 // concurrency returns the number of requests that the upstream runs at once, at least 1.
 func (mem *member) concurrency() float64 { return float64(max(1, mem.upstream.GetConcurrency())) }
 
--- /dev/null
+++ b/internal/route/fprate/pool.go
@@ -0,0 +1,194 @@
+package fprate
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// heardTimeout is how long after its last call a VM counts as in contact with the leader.
+	heardTimeout = time.Second
+	// burstTime is the time for which unused tokens accrue, beside one token.
+	burstTime = 500 * time.Millisecond
+	// urgentReserve is the fraction of the burst that is left for urgent requests.
+	urgentReserve = 0.5
+	// maxRetryAfter bounds the time after which a refused request is to be retried.
+	maxRetryAfter = 5 * time.Second
+	// gapPerEntry is the time between two calls of a VM, for each entry VM, and minCallGap the shortest one. They bound the
+	// calls that the leader answers to 4,000 a second.
+	gapPerEntry = 250 * time.Microsecond
+	minCallGap  = 30 * time.Millisecond
+	// backlogHalfLife is the half-life of the number of requests for which there was no token.
+	backlogHalfLife = time.Second
+)
+
+// CallGap returns the shortest time between two calls by which one of a number of entry VMs acquires tokens.
+func CallGap(entries uint32) time.Duration {
+	return max(minCallGap, time.Duration(entries)*gapPerEntry)
+}
+
+// Ask is the number of tokens that a VM needs for an upstream, by class.
+type Ask struct {
+	Incarnation   Incarnation
+	Urgent, Other int
+}
+
+// Grant is the number of tokens that a VM gets for an upstream, by class. Wait is the time until the leader expects to have
+// tokens for requests that got none.
+type Grant struct {
+	Incarnation   Incarnation
+	Urgent, Other int
+	Wait          time.Duration
+}
+
+// Pool holds the token buckets of all limited upstreams while its VM leads, and the newest statements otherwise. Use NewPool
+// to create one. It is safe for concurrent use.
+type Pool struct {
+	mutex   sync.Mutex
+	buckets map[Incarnation]*bucket
+	// term is the last term in which this VM led.
+	term uint64
+	// heard holds when each VM last called this VM as the leader.
+	heard map[string]time.Time
+}
+
+// bucket is the token bucket of one upstream.
+type bucket struct {
+	statement Statement
+	tokens    float64
+	filledAt  time.Time
+	// backlog is the decaying number of requests without a token as of filledAt.
+	backlog float64
+}
+
+// NewPool returns a pool without statements.
+func NewPool() *Pool {
+	return &Pool{
+		buckets: map[Incarnation]*bucket{},
+		heard:   map[string]time.Time{},
+	}
+}
+
+// StartTerm empties all buckets if a term of leadership has begun, because an earlier leader may have given out their tokens.
+func (poo *Pool) StartTerm(now time.Time, term uint64) {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	if term == poo.term {
+		return
+	}
+	poo.term = term
+	clear(poo.heard)
+	for _, buc := range poo.buckets {
+		buc.tokens, buc.backlog, buc.filledAt = 0, 0, now
+	}
+}
+
+// Merge puts a statement in force if it is newer than the known one.
+func (poo *Pool) Merge(now time.Time, inc Incarnation, sta Statement) {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	buc := poo.buckets[inc]
+	switch {
+	case buc == nil && !sta.Limited:
+		return
+	case buc == nil:
+		buc = &bucket{
+			filledAt: now,
+		}
+		poo.buckets[inc] = buc
+	case !sta.At.After(buc.statement.At):
+		return
+	}
+	if !buc.statement.Limited {
+		buc.tokens, buc.backlog, buc.filledAt = 0, 0, now
+	}
+	buc.statement = sta
+}
+
+// Prune removes upstreams that are not known any more, and limits that ended long ago.
+func (poo *Pool) Prune(now time.Time, known func(inc Incarnation) bool) {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	maps.DeleteFunc(poo.buckets, func(inc Incarnation, buc *bucket) bool {
+		return !known(inc) || !buc.statement.Limited && now.Sub(buc.statement.At) > endedRetention
+	})
+}
+
+// Statements returns the newest statements of all upstreams.
+func (poo *Pool) Statements() map[Incarnation]Statement {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	all := map[Incarnation]Statement{}
+	for inc, buc := range poo.buckets {
+		all[inc] = buc.statement
+	}
+	return all
+}
+
+// Rate returns the rate of an upstream in requests per second, and false if it is not limited.
+func (poo *Pool) Rate(inc Incarnation) (perSecond float64, limited bool) {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	buc := poo.buckets[inc]
+	if buc == nil || !buc.statement.Limited {
+		return 0, false
+	}
+	return buc.statement.rate(), true
+}
+
+// Acquire gives a VM the tokens that it needs, as far as there are any. entries is the number of entry VMs.
+func (poo *Pool) Acquire(now time.Time, vm string, entries uint32, asks []Ask) []Grant {
+	poo.mutex.Lock()
+	defer poo.mutex.Unlock()
+	poo.heard[vm] = now
+	fraction := poo.heardFraction(now, entries)
+	var grants []Grant
+	for _, ask := range asks {
+		buc := poo.buckets[ask.Incarnation]
+		if buc == nil || !buc.statement.Limited {
+			continue
+		}
+		buc.fill(now, fraction)
+		grants = append(grants, buc.grant(ask))
+	}
+	return grants
+}
+
+// heardFraction returns the fraction of the entry VMs that are in contact. The others may use their equal shares of the rates.
+func (poo *Pool) heardFraction(now time.Time, entries uint32) float64 {
+	limit := heardTimeout + CallGap(entries)
+	maps.DeleteFunc(poo.heard, func(_ string, at time.Time) bool { return now.Sub(at) > limit })
+	return min(1, float64(len(poo.heard))/float64(max(1, entries)))
+}
+
+// fill adds the tokens that have accrued. Only the given fraction of the rate accrues.
+func (buc *bucket) fill(now time.Time, fraction float64) {
+	elapsed := max(0, now.Sub(buc.filledAt))
+	buc.tokens = min(buc.burst(), buc.tokens+elapsed.Seconds()*buc.statement.rate()*fraction)
+	buc.backlog *= math.Exp2(-float64(elapsed) / float64(backlogHalfLife))
+	buc.filledAt = now
+}
+
+// burst returns the largest number of tokens in the bucket.
+func (buc *bucket) burst() float64 { return 1 + burstTime.Seconds()*buc.statement.rate() }
+
+// grant takes tokens for a VM. The last ones are left for urgent requests.
+func (buc *bucket) grant(ask Ask) Grant {
+	gra := Grant{
+		Incarnation: ask.Incarnation,
+		Urgent:      min(max(0, ask.Urgent), int(buc.tokens)),
+	}
+	buc.tokens -= float64(gra.Urgent)
+	reserve := urgentReserve * (buc.burst() - 1)
+	gra.Other = min(max(0, ask.Other), int(max(0, buc.tokens-reserve)))
+	buc.tokens -= float64(gra.Other)
+	missing := float64(max(0, ask.Urgent)+max(0, ask.Other)) - float64(gra.Urgent+gra.Other)
+	if missing > 0 {
+		buc.backlog += missing
+		seconds := (1 + buc.backlog - buc.tokens) / buc.statement.rate()
+		gra.Wait = min(maxRetryAfter, time.Duration(max(0, seconds)*float64(time.Second)))
+	}
+	return gra
+}
