fprate: reserve the shares of VMs that are no longer counted; log and test changes of a rate

An entry VM that is cut off uses its equal share of a rate, but the leader stopped to reserve it after 5 s, when the VM was no longer counted: with half of the VMs cut off the sum was one and a half times the rate. The leader now keeps the share for 5 minutes, and counts the VMs in contact at most every 100 ms, as each count visits all of them.

TestReservedShares: one of 4 VMs in contact gets a quarter of the rate, also after the others are no longer counted. TestOthersTakeOverFromLimitedUpstream: with and without keys at most 12 of 240 requests are refused from 5 s after one of three upstreams has named 4 a second, and the limit ends on all VMs.

--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -1,11 +1,13 @@
 package fpgate
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -226,3 +228,41 @@
 		})
 	}
 }
+
+// TestOthersTakeOverFromLimitedUpstream guards against callers that are refused because of the rate that one upstream names,
+// although others have room: requests without a key have to go to the others, and keys have to be moved to them. It also
+// guards against a limit that outlives the answers that name it.
+func TestOthersTakeOverFromLimitedUpstream(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keyed=%t", keyed), func(t *testing.T) {
+			t.Parallel()
+			const rate = 4
+			dep := startDeployment(t, 3, keyed)
+			var workers []*fpworker.Worker
+			for num := range 3 {
+				workers = append(workers, dep.addWorker(fmt.Sprint("w-", num), keyed))
+			}
+			dep.waitFor("requests are served", func() bool { status, _ := dep.send(0, 1); return status == http.StatusOK })
+			dep.load(dep.allEntries(), 20, 2*time.Second)
+			workers[0].NameRate(fmt.Sprint(rate))
+			named := time.Now()
+			dep.load(dep.allEntries(), 20, 5*time.Second)
+			statuses := dep.load(dep.allEntries(), 20, 4*time.Second)
+			if refused := statuses[http.StatusServiceUnavailable]; refused > 240/20 || statuses[http.StatusOK]+refused < 240 {
+				t.Errorf("answers by status: %v, want at most 12 of 240 refused from 5 s after the rate was named", statuses)
+			}
+			if got, bound := mostInWindow(workers[0].ArrivalTimes(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5; got > bound {
+				t.Errorf("the upstream got %d requests in 4 s, want at most %d", got, bound)
+			}
+			workers[0].StopNamingRate()
+			dep.load(dep.allEntries(), 20, 3*time.Second)
+			for num, gat := range dep.gates {
+				var metrics bytes.Buffer
+				gat.forwarder.WriteMetrics(&metrics)
+				if strings.Contains(metrics.String(), "rate{") {
+					t.Errorf("VM %d keeps a rate 3 s after the upstream has stopped to name it:\n%s", num, &metrics)
+				}
+			}
+		})
+	}
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -359,7 +359,6 @@
 	}
 	exc.tried[cho.member] = true
 	exc.rateWait = wait
-	exc.fwd.counters.add("rateRefused")
 	return fperror.New(fperror.Overloaded, "upstream %s gets no more requests than the rate that it names", cho.member.upstream.GetId())
 }
 
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -121,7 +121,13 @@
 		splits:  map[string]*splitter{},
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	fwd.rates = fprate.NewLimiter(fwd.entries.Load)
+	fwd.rates = fprate.NewLimiter(fprate.LimiterConfig{
+		Entries: fwd.entries.Load,
+		Changed: func(inc fprate.Incarnation, sta fprate.Statement) {
+			fwd.cfg.Log.Info("request rate of an upstream changed", zap.String("upstream", inc.ID), zap.Uint64("born", inc.Born),
+				zap.Bool("limited", sta.Limited), zap.Float64("perSecond", sta.PerSecond))
+		},
+	})
 	fwd.counters.init()
 	fwd.entries.Store(1)
 	fwd.view.Store(&view{
--- a/internal/route/fprate/limiter.go
+++ b/internal/route/fprate/limiter.go
@@ -32,10 +32,19 @@
 	endedRetention = 30 * time.Second
 )
 
+// LimiterConfig configures a Limiter.
+type LimiterConfig struct {
+	// Entries returns the number of entry VMs.
+	Entries func() uint32
+	// Changed is called when an upstream names another rate or ends its limit. Nil: changes are not reported. It must not
+	// call the limiter.
+	Changed func(inc Incarnation, sta Statement)
+}
+
 // Limiter admits requests of one entry VM to upstreams that have named a rate. Use NewLimiter to create one. It is safe for
 // concurrent use.
 type Limiter struct {
-	entries func() uint32
+	cfg LimiterConfig
 	// wanted gets a value when tokens are to be acquired before the next periodic call.
 	wanted chan struct{}
 	// known is the number of limits, for a fast path without the mutex.
@@ -85,12 +94,12 @@
 	granted bool
 }
 
-// NewLimiter returns a limiter without limits. entries returns the number of entry VMs.
-func NewLimiter(entries func() uint32) *Limiter {
+// NewLimiter returns a limiter without limits.
+func NewLimiter(cfg LimiterConfig) *Limiter {
 	return &Limiter{
-		entries: entries,
-		wanted:  make(chan struct{}, 1),
-		limits:  map[Incarnation]*limit{},
+		cfg:    cfg,
+		wanted: make(chan struct{}, 1),
+		limits: map[Incarnation]*limit{},
 	}
 }
 
@@ -144,6 +153,9 @@
 	if sta.sameRate(before) {
 		return
 	}
+	if lim.cfg.Changed != nil {
+		lim.cfg.Changed(inc, sta)
+	}
 	if !before.Limited || sta.rate() < before.rate() {
 		one.stock = nil
 	}
@@ -394,11 +406,11 @@
 }
 
 // contactLimit returns the time without an answer of the leader after which a VM uses its equal share.
-func (lim *Limiter) contactLimit() time.Duration { return contactTimeout + CallGap(lim.entries()) }
+func (lim *Limiter) contactLimit() time.Duration { return contactTimeout + CallGap(lim.cfg.Entries()) }
 
 // equalShare returns the equal share of an upstream's rate in requests per second.
 func (lim *Limiter) equalShare(one *limit) float64 {
-	return one.statement.rate() / float64(max(1, lim.entries()))
+	return one.statement.rate() / float64(max(1, lim.cfg.Entries()))
 }
 
 func (one *limit) takeShare() bool {
--- a/internal/route/fprate/limiter_test.go
+++ b/internal/route/fprate/limiter_test.go
@@ -22,7 +22,9 @@
 
 // newContact returns a limiter of one of two VMs that is in contact with the leader.
 func newContact() *Limiter {
-	lim := NewLimiter(func() uint32 { return 2 })
+	lim := NewLimiter(LimiterConfig{
+		Entries: func() uint32 { return 2 },
+	})
 	lim.Finish(lim.NewCall(time.Now()), time.Now(), nil, nil)
 	return lim
 }
@@ -100,3 +102,32 @@
 		}
 	})
 }
+
+// TestReservedShares guards against a sum above the rate when entry VMs are cut off from the leader and use equal shares: the
+// leader leaves them theirs, also when it no longer counts them as entry VMs.
+func TestReservedShares(t *testing.T) {
+	poo := NewPool()
+	now := time.Now()
+	poo.Merge(now, upstreamKey, Statement{
+		Limited:   true,
+		PerSecond: 100,
+		At:        now,
+	})
+	asks := []Ask{{
+		Incarnation: upstreamKey,
+		Urgent:      1000,
+	}}
+	granted := 0
+	for step := range 100 {
+		entries := uint32(4)
+		if step > 20 {
+			entries = 1
+		}
+		for _, gra := range poo.Acquire(now.Add(time.Duration(step)*100*time.Millisecond), "vm", entries, asks) {
+			granted += gra.Urgent
+		}
+	}
+	if granted > 255 || granted < 245 {
+		t.Errorf("one of 4 VMs in contact got %d tokens in 10 s, want a quarter of 1000", granted)
+	}
+}
--- a/internal/route/fprate/pool.go
+++ b/internal/route/fprate/pool.go
@@ -10,6 +10,10 @@
 const (
 	// heardTimeout is how long after its last call a VM counts as in contact with the leader.
 	heardTimeout = time.Second
+	// reserveTime is how long the share of a VM that is no longer counted stays reserved.
+	reserveTime = 5 * time.Minute
+	// fractionInterval is the time between counts of the VMs in contact.
+	fractionInterval = 100 * time.Millisecond
 	// burstTime is the time for which unused tokens accrue, beside one token.
 	burstTime = 500 * time.Millisecond
 	// urgentReserve is the fraction of the burst that is left for urgent requests.
@@ -52,6 +56,12 @@
 	term uint64
 	// heard holds when each VM last called this VM as the leader.
 	heard map[string]time.Time
+	// reserved is the number of entry VMs for which equal shares of the rates are reserved, as of reservedAt, and fraction that
+	// of them that were in contact at fractionAt.
+	reserved   uint32
+	reservedAt time.Time
+	fraction   float64
+	fractionAt time.Time
 }
 
 // bucket is the token bucket of one upstream.
@@ -80,6 +90,7 @@
 	}
 	poo.term = term
 	clear(poo.heard)
+	poo.fractionAt = time.Time{}
 	for _, buc := range poo.buckets {
 		buc.tokens, buc.backlog, buc.filledAt = 0, 0, now
 	}
@@ -143,7 +154,11 @@
 	poo.mutex.Lock()
 	defer poo.mutex.Unlock()
 	poo.heard[vm] = now
-	fraction := poo.heardFraction(now, entries)
+	poo.reserve(now, entries)
+	if len(asks) == 0 {
+		return nil
+	}
+	fraction := poo.heardFraction(now)
 	var grants []Grant
 	for _, ask := range asks {
 		buc := poo.buckets[ask.Incarnation]
@@ -156,11 +171,24 @@
 	return grants
 }
 
+// reserve sets the number of entry VMs for which shares are reserved. VMs that are no longer counted may be cut off, and use
+// their shares for some time.
+func (poo *Pool) reserve(now time.Time, entries uint32) {
+	if entries >= poo.reserved || now.Sub(poo.reservedAt) > reserveTime {
+		poo.reserved, poo.reservedAt = entries, now
+	}
+}
+
 // heardFraction returns the fraction of the entry VMs that are in contact. The others may use their equal shares of the rates.
-func (poo *Pool) heardFraction(now time.Time, entries uint32) float64 {
-	limit := heardTimeout + CallGap(entries)
+func (poo *Pool) heardFraction(now time.Time) float64 {
+	if now.Sub(poo.fractionAt) < fractionInterval {
+		return poo.fraction
+	}
+	limit := heardTimeout + CallGap(poo.reserved)
 	maps.DeleteFunc(poo.heard, func(_ string, at time.Time) bool { return now.Sub(at) > limit })
-	return min(1, float64(len(poo.heard))/float64(max(1, entries)))
+	poo.fraction = min(1, float64(len(poo.heard))/float64(max(1, poo.reserved)))
+	poo.fractionAt = now
+	return poo.fraction
 }
 
 // fill adds the tokens that have accrued. Only the given fraction of the rate accrues.
--- a/internal/route/fprate/simulation_test.go
+++ b/internal/route/fprate/simulation_test.go
@@ -61,10 +61,12 @@
 	}
 	for num := range vms {
 		sim.vms = append(sim.vms, &simulatedVM{
-			name:    fmt.Sprint("vm-", num),
-			limiter: NewLimiter(func() uint32 { return uint32(vms) }),
-			delay:   time.Duration(1+sim.ran.IntN(30)) * time.Millisecond,
-			demand:  demand(num),
+			name: fmt.Sprint("vm-", num),
+			limiter: NewLimiter(LimiterConfig{
+				Entries: func() uint32 { return uint32(vms) },
+			}),
+			delay:  time.Duration(1+sim.ran.IntN(30)) * time.Millisecond,
+			demand: demand(num),
 		})
 	}
 	sim.name("", 0)
