--- a/api/upstream/fpfence/fence.go
+++ b/api/upstream/fpfence/fence.go
@@ -62,6 +62,7 @@
 	groups    map[string]*grant
 	tokens    tokens
 	draining  bool
+	rate      string         // request rate that answers name, or empty
 	lastCheck fpclock.Moment // latest check of the leases
 	tracker   tracker
 }
--- a/internal/bench/fpupstream/command.go
+++ b/internal/bench/fpupstream/command.go
@@ -30,6 +30,7 @@
 	IgnoreFence bool          `help:"Run every request, regardless of grants."`
 	RunLog      string        `help:"File to which the start and the end of each run are appended."`
 	AnnounceAs  string        `help:"Address to announce instead of the one it serves at, for example that of a proxy."`
+	Rate        float64       `help:"Requests per second that the upstream takes from all VMs together; 0: no limit."`
 	QuitOnCrash bool          `default:"true" negatable:"" help:"End the process on a request that crashes the upstream."`
 }
 
@@ -63,6 +64,9 @@
 	if err := ups.Start(ctx); err != nil {
 		return err
 	}
+	if com.Rate > 0 {
+		ups.Fence().SetRate(com.Rate)
+	}
 	fmt.Fprintf(out, "stand-in %s of %s serves at %s\n", com.Name, com.Service, ups.Address())
 	<-ctx.Done()
 	ups.Stop()
