fpentry, fpserve: keep the rate that an upstream names for all VMs together on the path of calls

Callers of a service with a schema were all forwarded: the upstream that named 8 calls a second got 54 in 0.5 s. The dump shows the rate.

--- a/internal/node/fpentry/dump.go
+++ b/internal/node/fpentry/dump.go
@@ -26,6 +26,8 @@
 	Limit       int    `json:"limit"`
 	Connections int    `json:"connections"`
 	State       string `json:"state"`
+	// Rate is the request rate per second that the upstream names for all VMs together, or nil.
+	Rate *float64 `json:"rate,omitempty"`
 }
 
 // Dump returns the state of the forwarding path.
@@ -44,6 +46,9 @@
 		one.Running = limit.Running()
 		one.Waiting = limit.Waiting()
 		one.Limit = limit.Concurrency()
+		if perSecond, limited := ent.rates.Rate(rateKey(ups)); limited {
+			one.Rate = &perSecond
+		}
 		if ser := ent.findService(ups.GetService()); ser != nil {
 			one.State = ser.health.State(ups.GetName()).String()
 		}
--- a/internal/node/fpentry/entry.go
+++ b/internal/node/fpentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgrant"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
@@ -35,6 +36,8 @@
 	Region     string
 	// RegionOf returns the region of a data centre, or "" if it is unknown.
 	RegionOf func(dataCentre string) string
+	// EntryVMs is the number of VMs that forward requests.
+	EntryVMs int
 	// Groups names the groups to poll.
 	Groups []string
 	// PollHold is how long a leader may hold a poll that has no updates.
@@ -65,6 +68,9 @@
 	table      *fptable.Table
 	registry   *fpregistry.Registry
 	quarantine *fpquarantine.List
+	// rates admits calls to upstreams that have named a request rate. It has no leader to call, so that each VM uses an equal
+	// share.
+	rates      *fprate.Limiter
 	pools      *fpconn.Pools
 	server     *fpserve.Server
 	prober     *fphealth.Prober
@@ -84,6 +90,13 @@
 		table:      fptable.New(fptable.Config{}),
 		registry:   &fpregistry.Registry{},
 		quarantine: fpquarantine.New(fpquarantine.Config{}),
+		rates: fprate.NewLimiter(fprate.LimiterConfig{
+			Entries: func() uint32 { return uint32(cfg.EntryVMs) },
+			Changed: func(inc fprate.Incarnation, sta fprate.Statement) {
+				cfg.Log.Info("request rate of an upstream changed", zap.String("upstream", inc.ID), zap.Uint64("incarnation", inc.Born),
+					zap.Bool("limited", sta.Limited), zap.Float64("perSecond", sta.PerSecond))
+			},
+		}),
 		pools: fpconn.New(fpconn.Config{
 			ReadIdle:    cfg.ReadIdle,
 			PingTimeout: cfg.PingTimeout,
@@ -101,6 +114,7 @@
 		Route:         ent.route,
 		Choose:        ent.choose,
 		Admit:         ent.admit,
+		ObserveRate:   ent.observeRate,
 		Retry:         ent.retry,
 		ReportSuccess: ent.recordSuccess,
 		Claim:         ent.claim,
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fptable"
@@ -151,11 +152,22 @@
 	if err != nil {
 		return nil, err
 	}
+	key, urgent := rateKey(tar.Upstream), cal.Method().Priority() == fpoption.Priority_PRIORITY_HIGH
+	if ok, after := ent.rates.Take(ctx, key, urgent, false); !ok {
+		err := fperror.New(fperror.Overloaded, "upstream %s gets no more calls than the rate that it names", tar.Upstream.GetName())
+		done(fplimit.Result{
+			Err: err,
+		})
+		return nil, fpserve.WithRetryAfter(err, after)
+	}
 	var once atomic.Bool
 	return func(res fpserve.Result) {
 		if !once.CompareAndSwap(false, true) {
 			return
 		}
+		if !res.Sent {
+			ent.rates.Return(key, urgent)
+		}
 		done(fplimit.Result{
 			Err:      res.Err,
 			PushBack: res.PushBack,
@@ -166,6 +178,23 @@
 	}, nil
 }
 
+// rateKey returns the key of an upstream in the limiter of request rates.
+func rateKey(ups *fpcontract.Upstream) fprate.Incarnation {
+	return fprate.Incarnation{
+		ID:   ups.GetName(),
+		Born: ups.GetIncarnation(),
+	}
+}
+
+// observeRate records the request rate that an upstream names in an answer, or that it names none.
+func (ent *Entry) observeRate(tar *fpserve.Target, sent time.Time, rate string, named bool) {
+	if named {
+		ent.rates.Observe(rateKey(tar.Upstream), sent, rate)
+		return
+	}
+	ent.rates.ObserveNone(rateKey(tar.Upstream), sent)
+}
+
 // observeHealth passes the result of an attempt to the health state of the upstream.
 func (ent *Entry) observeHealth(cal *fpserve.Call, tar *fpserve.Target, err error) {
 	ent.mutex.Lock()
--- a/internal/node/fpentry/service.go
+++ b/internal/node/fpentry/service.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpbalance"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fplimit"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpretry"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fphealth"
 )
@@ -88,6 +89,7 @@
 	}
 	for name := range ent.limiters {
 		if !known[name] {
+			ent.forgetRate(name)
 			delete(ent.limiters, name)
 		}
 	}
@@ -142,6 +144,7 @@
 	defer ent.mutex.Unlock()
 	lim := ent.limiters[ups.GetName()]
 	if lim == nil || lim.incarnation != ups.GetIncarnation() {
+		ent.forgetRate(ups.GetName())
 		lim = &upstreamLimiter{
 			incarnation: ups.GetIncarnation(),
 			limiter: fplimit.New(fplimit.CoreConfig{
@@ -154,6 +157,16 @@
 	return lim.limiter
 }
 
+// forgetRate removes the request rate of the incarnation of an upstream that has a limiter. The caller holds the mutex.
+func (ent *Entry) forgetRate(name string) {
+	if lim := ent.limiters[name]; lim != nil {
+		ent.rates.Forget(fprate.Incarnation{
+			ID:   name,
+			Born: lim.incarnation,
+		})
+	}
+}
+
 // findService returns the state of a service, or nil if it is not configured.
 func (ent *Entry) findService(name string) *service {
 	ent.mutex.Lock()
--- a/internal/node/fpnode/node.go
+++ b/internal/node/fpnode/node.go
@@ -203,6 +203,17 @@
 	return nil
 }
 
+// entryVMs returns the number of VMs that forward requests.
+func (nod *Node) entryVMs() int {
+	count := 0
+	for _, vm := range nod.cfg.Settings.VMs() {
+		if vm.HasRole(fpsettings.RoleEntry) {
+			count++
+		}
+	}
+	return count
+}
+
 // entryConfig returns the configuration of the forwarding path. A VM without the role entry polls only the root group, from
 // which it receives the configuration.
 func (nod *Node) entryConfig() fpentry.Config {
@@ -221,6 +232,7 @@
 		DataCentre:       set.DataCentre(),
 		Region:           set.Region(),
 		RegionOf:         nod.regionOf,
+		EntryVMs:         nod.entryVMs(),
 		Groups:           groups,
 		PollHold:         tim.Poll(),
 		ReadIdle:         tim.ReadIdle(),
--- a/internal/route/fprate/limiter.go
+++ b/internal/route/fprate/limiter.go
@@ -165,6 +165,17 @@
 	}
 }
 
+// Rate returns the rate in requests per second that an upstream names, and false if it names none.
+func (lim *Limiter) Rate(inc Incarnation) (perSecond float64, limited bool) {
+	lim.mutex.Lock()
+	defer lim.mutex.Unlock()
+	one := lim.limits[inc]
+	if one == nil || !one.statement.Limited {
+		return 0, false
+	}
+	return one.statement.PerSecond, true
+}
+
 // Forget removes what is known of an upstream.
 func (lim *Limiter) Forget(inc Incarnation) {
 	if lim.known.Load() == 0 {
--- a/internal/route/fpserve/answer.go
+++ b/internal/route/fpserve/answer.go
@@ -38,6 +38,10 @@
 // the router to wait before it retries, or 0.
 func (att *attempt) receive(res *http.Response) (time.Duration, error) {
 	defer res.Body.Close()
+	rate, named := res.Header[rateHeader]
+	if named {
+		att.exc.ser.cfg.ObserveRate(att.target, att.sent, rate[0], true)
+	}
 	if kin, ok := refusalKinds[res.Header.Get("Foxtailpulley-Refused")]; ok {
 		return att.handleRefusal(kin, res.Header)
 	}
@@ -52,6 +56,9 @@
 	if err := ans.read(); err != nil {
 		return 0, att.handleLoss(err)
 	}
+	if !named {
+		att.exc.ser.cfg.ObserveRate(att.target, att.sent, "", false)
+	}
 	att.exc.answer = ans
 	att.exc.settleAnswer(ans.record)
 	att.finish(Result{})
--- a/internal/route/fpserve/config.go
+++ b/internal/route/fpserve/config.go
@@ -37,6 +37,9 @@
 	// Admit waits for a permit to send the call to the upstream. The returned function returns the permit. It must be
 	// called once, with the result of the attempt.
 	Admit func(ctx context.Context, cal *Call, tar *Target) (func(Result), error)
+	// ObserveRate is called after each answer of an upstream to a request sent at the given time. rate is the text of the
+	// request rate that the upstream names for all VMs together, and named is false if it names none.
+	ObserveRate func(tar *Target, sent time.Time, rate string, named bool)
 	// Retry reports whether the call may be attempted again after err, and returns the delay before that attempt.
 	// pushBack is the wait that the upstream asked for, or 0.
 	Retry func(cal *Call, err error, pushBack time.Duration) (delay time.Duration, ok bool)
@@ -99,6 +102,9 @@
 	if cfg.ReportSuccess == nil {
 		cfg.ReportSuccess = func(*Call) {}
 	}
+	if cfg.ObserveRate == nil {
+		cfg.ObserveRate = func(*Target, time.Time, string, bool) {}
+	}
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
--- a/internal/route/fpserve/header.go
+++ b/internal/route/fpserve/header.go
@@ -9,6 +9,9 @@
 // that it receives.
 const routerHeaderPrefix = "Foxtailpulley-"
 
+// rateHeader names the request rate that an upstream takes from all VMs together.
+const rateHeader = "Foxtailpulley-Rate"
+
 // hopByHopHeaders are the headers that concern one connection only. Content-Length is computed again from the body.
 var hopByHopHeaders = map[string]bool{
 	"Connection":          true,
--- a/internal/route/fpserve/refuse.go
+++ b/internal/route/fpserve/refuse.go
@@ -1,9 +1,11 @@
 package fpserve
 
 import (
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,24 @@
 	return fperror.KindOf(err).Answer().Outcome()
 }
 
+// retryAfterError is the error of a request that the caller should send again after some time.
+type retryAfterError struct {
+	error
+	after time.Duration
+}
+
+// Unwrap returns the wrapped error.
+func (err *retryAfterError) Unwrap() error { return err.error }
+
+// WithRetryAfter returns an error of the same kind. The answer to the caller asks for a retry after the given time, in the
+// header Retry-After in whole seconds.
+func WithRetryAfter(err error, after time.Duration) error {
+	return &retryAfterError{
+		error: err,
+		after: after,
+	}
+}
+
 // refuse answers a call with an error in the protocol of the call.
 func (ser *Server) refuse(wri http.ResponseWriter, req *http.Request, err error) {
 	kin := fperror.KindOf(err)
@@ -41,6 +61,10 @@
 	hea := wri.Header()
 	hea[outcomeHeader] = []string{outcomeOf(err).String()}
 	hea[errorHeader] = []string{kin.String()}
+	var retry *retryAfterError
+	if errors.As(err, &retry) {
+		hea["Retry-After"] = []string{strconv.FormatInt(int64(math.Ceil(retry.after.Seconds())), 10)}
+	}
 	_ = ser.errors.Write(wri, req, connect.NewError(kin.Answer().Code(), err))
 }
 
