fpsoak: workers name request rates, and their sum over the entry VMs is checked

The soak knew no rate. The check uses what callers and upstreams see: the requests in any 4 s from VMs that have passed on an answer with the rate half a second before and have not started again since.

--- a/internal/bench/fpsoak/command.go
+++ b/internal/bench/fpsoak/command.go
@@ -106,6 +106,11 @@
 	}
 	fle.run(runCtx)
 	fle.record.checkAttempts(fle.runs())
+	started := map[string][]time.Time{}
+	for _, pro := range fle.entries {
+		started[pro.name] = pro.starts
+	}
+	fle.record.checkRates(started)
 	fle.record.mutex.Lock()
 	defer fle.record.mutex.Unlock()
 	return fle.record.violations, fle.record.served, nil
@@ -143,6 +148,7 @@
 	}
 	group.Go(func() { fle.watchOwners(loadCtx) })
 	group.Go(func() { fle.watchReads(loadCtx) })
+	group.Go(func() { fle.nameRates(faultsCtx) })
 	fle.injectFaults(faultsCtx)
 	const recoveryTime = 9 * time.Second // covers the longest planned stop and the repair after the loss of a disk
 	for _, pro := range fle.processes() {
--- a/internal/bench/fpsoak/fleet.go
+++ b/internal/bench/fpsoak/fleet.go
@@ -305,6 +305,7 @@
 		if ctx.Err() == nil {
 			// Only an EOF shows that the VM closed a connection that was open; a refused connection does not count.
 			att.plannedStop = fle.plannedStopsOnly && att.err != nil && strings.Contains(att.err.Error(), "EOF")
+			att.entry, att.ended = entry.name, time.Now()
 			fle.record.addAttempt(att)
 		}
 		wait(ctx, callerPause)
--- a/internal/bench/fpsoak/process.go
+++ b/internal/bench/fpsoak/process.go
@@ -30,6 +30,8 @@
 	ended chan struct{}
 	// lastEvent is the time of the last start, signal or exit of the process.
 	lastEvent time.Time
+	// starts holds the times of all starts.
+	starts []time.Time
 }
 
 // freeAddress returns a loopback address with a port that was free during the call.
@@ -67,6 +69,7 @@
 	}
 	pro.settings["firstStart"] = false
 	pro.cmd = cmd
+	pro.starts = append(pro.starts, time.Now())
 	ended := make(chan struct{})
 	pro.ended = ended
 	go func() {
--- a/internal/bench/fpsoak/record.go
+++ b/internal/bench/fpsoak/record.go
@@ -19,7 +19,10 @@
 	// plannedStop states that the connection ended without a complete answer in a run whose only faults are planned stops
 	// of entry VMs.
 	plannedStop bool
-	err         error
+	// entry is the name of the VM that the attempt was sent to, and ended when its outcome was known.
+	entry string
+	ended time.Time
+	err   error
 }
 
 // record holds the outcomes that callers and operators have seen, and the violations of the router's promises.
@@ -31,6 +34,7 @@
 	accepted     uint64 // newest revision that a control VM accepted; 0: none
 	acceptedAt   time.Time
 	lastRevision uint64 // newest revision that was sent
+	rateSpans    []rateSpan
 }
 
 // addAttempt adds the outcome of an attempt.
--- a/internal/bench/fpsoak/soak_test.go
+++ b/internal/bench/fpsoak/soak_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -11,6 +13,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // TestShortSoak guards against violations of the router's promises when real processes run under faults. Seed 4 injects
@@ -63,6 +66,7 @@
 			t.Errorf("got %q, want %q", got, want)
 		}
 	}
+	checkRatesFindsViolation(t)
 	var rec record
 	rec.checkOwners([]*fpworker.Worker{holder(t, "one", 5, 10), holder(t, "two", 10, 20)})
 	if len(rec.violations) != 1 {
@@ -70,6 +74,42 @@
 	}
 }
 
+// checkRatesFindsViolation checks that a worker with too many requests for its rate is found, and that requests do not count that
+// a VM sent before it had passed on the rate.
+func checkRatesFindsViolation(t *testing.T) {
+	t.Helper()
+	for ended, want := range map[time.Duration]int{-rateDelay: 1, time.Hour: 0} {
+		wor := holder(t, "one", 0, 1)
+		from := time.Now()
+		rec := record{
+			rateSpans: []rateSpan{{
+				worker:    wor,
+				perSecond: 1,
+				from:      from,
+				to:        from.Add(time.Hour),
+			}},
+		}
+		for num := range 14 {
+			att := attempt{
+				id:     fmt.Sprint("a-", num),
+				status: http.StatusOK,
+				entry:  "entry-0",
+				ended:  from.Add(ended),
+			}
+			rec.addAttempt(att)
+			req := httptest.NewRequest(http.MethodGet, "/", nil)
+			platform.EncodeRequest(req.Header, platform.Request{
+				Attempt: att.id,
+			})
+			wor.ServeHTTP(httptest.NewRecorder(), req)
+		}
+		rec.checkRates(nil)
+		if len(rec.violations) != want {
+			t.Errorf("got violations %q for 14 requests in 4 s at 1 a second, which end after %v; want %d", rec.violations, ended, want)
+		}
+	}
+}
+
 // holder returns a worker that holds a range of keys.
 func holder(t *testing.T, id string, first, last uint32) *fpworker.Worker {
 	t.Helper()
--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -72,6 +72,12 @@
 	Began   time.Time
 }
 
+// Arrival is a request that has arrived.
+type Arrival struct {
+	Attempt string
+	At      time.Time
+}
+
 // Worker is a test double of an upstream. Use New to create one.
 type Worker struct {
 	cfg     Config
@@ -79,7 +85,7 @@
 
 	mutex    sync.Mutex
 	runs     []Run
-	arrivals []time.Time
+	arrivals []Arrival
 	waiting  int
 	// rate is the text of the request rate that the worker names in its answers, if namesRate is set.
 	rate      string
@@ -148,8 +154,8 @@
 	return len(wor.arrivals)
 }
 
-// ArrivalTimes returns when each request arrived, run or not, in order.
-func (wor *Worker) ArrivalTimes() []time.Time {
+// ArrivalList returns all requests that have arrived, run or not, in order.
+func (wor *Worker) ArrivalList() []Arrival {
 	wor.mutex.Lock()
 	defer wor.mutex.Unlock()
 	return slices.Clone(wor.arrivals)
@@ -177,7 +183,10 @@
 	}
 	info := platform.DecodeRequest(req.Header)
 	wor.mutex.Lock()
-	wor.arrivals = append(wor.arrivals, time.Now())
+	wor.arrivals = append(wor.arrivals, Arrival{
+		Attempt: info.Attempt,
+		At:      time.Now(),
+	})
 	wor.mutex.Unlock()
 	if target := platform.DecodeTarget(req.Header); target != "" && target != wor.cfg.Upstream.GetId() || !wor.mayRun(info) {
 		wor.refuse(wri, info, http.StatusMisdirectedRequest)
--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -181,15 +181,15 @@
 	return statuses
 }
 
-// mostInWindow returns the largest number of times in any span of a length, of those after a moment.
-func mostInWindow(times []time.Time, after time.Time, length time.Duration) int {
+// mostInWindow returns the largest number of arrivals in any span of a length, of those after a moment.
+func mostInWindow(arrivals []fpworker.Arrival, after time.Time, length time.Duration) int {
 	most, first := 0, 0
-	for pos, at := range times {
-		if !at.After(after) {
+	for pos, arr := range arrivals {
+		if !arr.At.After(after) {
 			first = pos + 1
 			continue
 		}
-		for at.Sub(times[first]) > length {
+		for arr.At.Sub(arrivals[first].At) > length {
 			first++
 		}
 		most = max(most, pos-first+1)
@@ -221,7 +221,7 @@
 			wor.NameRate(fmt.Sprint(rate))
 			named := time.Now()
 			statuses := dep.load(dep.allEntries(), 20, 7*time.Second)
-			got, bound := mostInWindow(wor.ArrivalTimes(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5
+			got, bound := mostInWindow(wor.ArrivalList(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5
 			if got > bound {
 				t.Errorf("the upstream got %d requests in 4 s, want at most %d at %d a second; answers by status: %v", got, bound, rate, statuses)
 			}
@@ -251,7 +251,7 @@
 			if refused := statuses[http.StatusServiceUnavailable]; refused > 240/20 || statuses[http.StatusOK]+refused < 240 {
 				t.Errorf("answers by status: %v, want at most 12 of 240 refused from 5 s after the rate was named", statuses)
 			}
-			if got, bound := mostInWindow(workers[0].ArrivalTimes(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5; got > bound {
+			if got, bound := mostInWindow(workers[0].ArrivalList(), named.Add(500*time.Millisecond), 4*time.Second), 6*rate+5; got > bound {
 				t.Errorf("the upstream got %d requests in 4 s, want at most %d", got, bound)
 			}
 			workers[0].StopNamingRate()
