--- a/internal/node/fpcontrol/rates.go
+++ b/internal/node/fpcontrol/rates.go
@@ -23,8 +23,8 @@
 	res.Rates = con.encodedRates()
 }
 
-// mergeRates merges statements of another VM, whose ages were measured at the given time or later, and drops those about
-// upstreams that have left.
+// mergeRates merges statements of another VM, with ages as of the given time, and drops those about upstreams that have left. A
+// statement that an entry VM reports seems newer by the time that the call took.
 func (con *Control) mergeRates(at time.Time, statements []*fpstate.RateStatement) {
 	for inc, sta := range fprate.DecodeStatements(at, statements) {
 		con.rates.Merge(time.Now(), inc, sta)
--- a/internal/route/fprate/pool.go
+++ b/internal/route/fprate/pool.go
@@ -20,15 +20,15 @@
 	urgentReserve = 0.5
 	// maxRetryAfter bounds the time after which a refused request is to be retried.
 	maxRetryAfter = 5 * time.Second
-	// gapPerEntry is the time between two calls of a VM, for each entry VM, and minCallGap the shortest one. They bound the
-	// calls that the leader answers to 4,000 a second.
+	// gapPerEntry is the time before an early call of a VM, for each entry VM, and minCallGap the shortest one. They bound the
+	// calls beside the regular reports, whose number they do not change.
 	gapPerEntry = 250 * time.Microsecond
 	minCallGap  = 30 * time.Millisecond
 	// backlogHalfLife is the half-life of the number of requests for which there was no token.
 	backlogHalfLife = time.Second
 )
 
-// CallGap returns the shortest time between two calls by which one of a number of entry VMs acquires tokens.
+// CallGap returns the shortest time after a call before one of a number of entry VMs calls early to acquire tokens.
 func CallGap(entries uint32) time.Duration {
 	return max(minCallGap, time.Duration(entries)*gapPerEntry)
 }
--- a/internal/route/fprate/simulation_test.go
+++ b/internal/route/fprate/simulation_test.go
@@ -34,23 +34,23 @@
 	perSecond float64
 }
 
-// arrival is a request that has reached the upstream. told states that the VM had passed on an answer with a rate half a second
+// arrival is a request that has reached the upstream. informed states that the VM had passed on an answer with a rate half a second
 // before.
 type arrival struct {
-	at   time.Time
-	told bool
+	at       time.Time
+	informed bool
 }
 
 // simulatedVM is an entry VM with its callers.
 type simulatedVM struct {
-	name    string
-	limiter *Limiter
-	delay   time.Duration // one way to the leader
-	demand  float64       // requests per second
-	cut     bool          // from the leader
-	toldAt  time.Time
-	refused int
-	waits   []time.Duration
+	name       string
+	limiter    *Limiter
+	delay      time.Duration // one way to the leader
+	demand     float64       // requests per second
+	cut        bool          // from the leader
+	informedAt time.Time
+	refused    int
+	waits      []time.Duration
 }
 
 func newSimulation(seed uint64, vms int, demand func(num int) float64) *simulation {
@@ -127,8 +127,8 @@
 	var rate namedRate
 	sim.locked(func() {
 		sim.arrived = append(sim.arrived, arrival{
-			at:   time.Now(),
-			told: !svm.toldAt.IsZero() && time.Since(svm.toldAt) > 500*time.Millisecond,
+			at:       time.Now(),
+			informed: !svm.informedAt.IsZero() && time.Since(svm.informedAt) > 500*time.Millisecond,
 		})
 	})
 	time.Sleep(50 * time.Millisecond)
@@ -140,8 +140,8 @@
 	}
 	svm.limiter.Observe(upstreamKey, sent, rate.text)
 	sim.locked(func() {
-		if svm.toldAt.IsZero() {
-			svm.toldAt = time.Now()
+		if svm.informedAt.IsZero() {
+			svm.informedAt = time.Now()
 		}
 	})
 }
@@ -206,7 +206,7 @@
 	const window = 4 * time.Second
 	var times []time.Time
 	for _, arr := range sim.arrived {
-		if arr.told {
+		if arr.informed {
 			times = append(times, arr.at)
 		}
 	}
--- a/internal/route/fprate/wire.go
+++ b/internal/route/fprate/wire.go
@@ -23,8 +23,8 @@
 	return all
 }
 
-// DecodeStatements returns the statements of another VM with their times on the clock of this one. at is a time at or before
-// which the ages were measured: a statement must not seem newer than it is.
+// DecodeStatements returns the statements of another VM with their times on the clock of this one. at is the time that is taken
+// for that at which the ages were measured: with a later one, statements seem newer than they are.
 func DecodeStatements(at time.Time, statements []*fpstate.RateStatement) map[Incarnation]Statement {
 	all := map[Incarnation]Statement{}
 	for _, sta := range statements {
