--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -41,7 +41,10 @@
 }
 
 // New returns the entry VM with the given settings.
-func New(set *fpgateway.Settings, log *zap.Logger) *Gate {
+func New(set *fpgateway.Settings, log *zap.Logger) *Gate { return newGate(set, log, nil) }
+
+// newGate is New with the function that opens connections to upstreams; nil stands for fpconn.Dial.
+func newGate(set *fpgateway.Settings, log *zap.Logger, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Gate {
 	gat := &Gate{
 		set: set,
 		log: log,
@@ -51,6 +54,7 @@
 			Promises:    set.Promises(),
 			LinkRate:    set.LinkRate(),
 			MemoryLimit: set.MemoryLimit(),
+			Dial:        dial,
 			Log:         log,
 		}),
 	}
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -8,8 +8,10 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,7 +43,9 @@
 	// ResetWait is how long, beyond the time to open it, a new connection to an upstream that may be full is watched for a
 	// reset before a request is sent. 0 means 3 ms.
 	ResetWait time.Duration
-	Log       *zap.Logger
+	// Dial opens connections to upstreams. Nil: fpconn.Dial. Tests replace it to simulate lost paths.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Log  *zap.Logger
 }
 
 // Forwarder is an http.Handler that forwards requests to upstreams. Use New to create one. It is safe for concurrent use.
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -132,6 +132,7 @@
 			ConnectTimeout: connectTimeout,
 			MaxIdle:        maxIdleConnections,
 			ReadBuffer:     fwd.readBuffer(),
+			Dial:           fwd.cfg.Dial,
 		}),
 		joinedAt:  time.Now(),
 		exploreAt: time.Now().Add(coldStartTime + time.Duration(fwd.random()*float64(exploreSpread))),
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -72,7 +72,7 @@
 // connection was opened and the health request on it failed.
 func (pl *Pool) connectWith(ctx context.Context, http1 bool) (*Conn, error) {
 	var soc atomic.Pointer[socket]
-	tra := newTransport(pl.cfg, dialInto(&soc), http1)
+	tra := newTransport(pl.cfg, dialInto(&soc, Dial), http1)
 	cli, err := tra.NewClientConn(ctx, "http", pl.upstream.GetAddress())
 	if err != nil {
 		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", pl.upstream.GetName())
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -34,6 +34,8 @@
 	ReadBuffer int
 	// MaxIdle is the maximum number of idle connections that are kept for reuse. 0: none are kept.
 	MaxIdle int
+	// Dial opens connections. Nil: Dial of this package. Tests replace it to simulate lost paths.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // ExclusivePool is a pool of HTTP/1.1 connections to one upstream. Each connection carries one request at a time.
@@ -50,6 +52,9 @@
 // NewExclusivePool returns a pool without connections.
 func NewExclusivePool(cfg ExclusivePoolConfig) *ExclusivePool {
 	setDefault(&cfg.ConnectTimeout, defaultConnectTimeout)
+	if cfg.Dial == nil {
+		cfg.Dial = Dial
+	}
 	return &ExclusivePool{
 		cfg: cfg,
 	}
@@ -117,7 +122,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exc.cfg.ConnectTimeout)
 	defer cancel()
 	var soc atomic.Pointer[socket]
-	cli, err := newTransport(&Config{}, dialInto(&soc), true).NewClientConn(ctx, "http", exc.cfg.Address)
+	cli, err := newTransport(&Config{}, dialInto(&soc, exc.cfg.Dial), true).NewClientConn(ctx, "http", exc.cfg.Address)
 	if err != nil {
 		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", exc.cfg.Upstream)
 	}
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -63,13 +63,19 @@
 	return soc.Conn.Close()
 }
 
-// dialInto returns a function that opens a TCP connection and stores its socket in into.
-func dialInto(into *atomic.Pointer[socket]) dialFunc {
+// Dial opens a TCP connection to an upstream, with probes that detect a silent connection. It sets no TCP_USER_TIMEOUT, which
+// would replace the number of probes and end requests that wait for an answer on a path with losses.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dia := net.Dialer{
+		KeepAliveConfig: keepAlive,
+	}
+	return dia.DialContext(ctx, network, address)
+}
+
+// dialInto returns a function that opens a connection with dial and stores its socket in into.
+func dialInto(into *atomic.Pointer[socket], dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		dia := net.Dialer{
-			KeepAliveConfig: keepAlive,
-		}
-		con, err := dia.DialContext(ctx, network, address)
+		con, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
