fpgate: failing test of callers whose VM has lost its paths to upstreams

3 of 5 entry VMs lose their paths in four ways (open connections hang, are reset, live on, deliver requests only). The test also checks at most once and refusals.

--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -27,7 +27,8 @@
 	t       *testing.T
 	control string
 	gates   []*Gate
-	entries []string // addresses for callers
+	entries []string    // addresses for callers
+	paths   []*pathCuts // paths of the entry VMs to upstreams
 	client  *http.Client
 	last    atomic.Int64 // number of the last attempt
 }
@@ -65,7 +66,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		gat := New(set, zap.NewNop())
+		cut := &pathCuts{}
+		dep.paths = append(dep.paths, cut)
+		gat := newGate(set, zap.NewNop(), cut.dial)
 		dep.gates = append(dep.gates, gat)
 		dep.entries = append(dep.entries, address)
 		ended = append(ended, gat.Run(ctx))
@@ -81,8 +84,11 @@
 	operator := &platform.ControlClient{
 		Client: dep.client,
 	}
-	document := fmt.Appendf(nil, `{"version":1,"routes":[{"name":"r","hostname":"a","path_prefix":"/","kind":"safe","service":"s","timeout":"1s",
-		"slo":"400ms","max_attempts":2}],"services":[{"name":"s","sharded":%t}]}`, keyed)
+	route := func(name, path, kind string) string {
+		return fmt.Sprintf(`{"name":%q,"hostname":"a","path_prefix":%q,"kind":%q,"service":"s","timeout":"1s","slo":"400ms","max_attempts":2}`, name, path, kind)
+	}
+	routes := []string{route("r", "/", "safe"), route("once", "/once/", "unsafe"), route("upload", "/upload/", "upload"), route("download", "/download/", "download")}
+	document := fmt.Appendf(nil, `{"version":1,"routes":[%s],"services":[{"name":"s","sharded":%t}]}`, strings.Join(routes, ","), keyed)
 	dep.waitFor("the configuration is accepted", func() bool { return operator.Put(t.Context(), dep.control, document) == nil })
 	return dep
 }
