--- a/internal/node/fpcontrol/announcements.go
+++ b/internal/node/fpcontrol/announcements.go
@@ -113,9 +113,10 @@
 	return one.at, true
 }
 
-// relayAnnouncements relays announcements that this VM has received to the leader until ctx ends, with the number of entry
-// VMs that follow this VM.
+// relayAnnouncements relays announcements that this VM has received to the leader until ctx ends, with the entry VMs that
+// follow this VM.
 func (con *Control) relayAnnouncements(ctx context.Context) {
+	heldBy, held := "", uint64(0) // the leader that holds the followers with a digest
 	for sleep(ctx, relayInterval) {
 		leader := con.group.Status().Leader
 		if leader == "" || leader == con.cfg.VM {
@@ -123,11 +124,19 @@
 		}
 		pending := con.announcements.unrelayed()
 		sent := time.Now()
+		followers, digest := con.relays.Followers(sent)
+		if heldBy == leader && held == digest {
+			followers = nil
+		}
+		_, known := con.relays.All(sent, 0)
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		res, err := con.peer(leader).Announce(call, connect.NewRequest(&fpstate.AnnounceRequest{
-			Announcements: pending,
-			Entries:       con.followers.count(),
-			Vm:            con.cfg.VM,
+			Announcements:   pending,
+			Entries:         con.followers.count(),
+			Vm:              con.cfg.VM,
+			Followers:       followers,
+			FollowersDigest: digest,
+			RelaysDigest:    known,
 		}))
 		cancel()
 		if err != nil {
@@ -137,5 +146,9 @@
 		con.announcements.markRelayed(pending)
 		con.followers.setTotal(res.Msg.GetEntries())
 		con.mergeRates(sent, res.Msg.GetRates())
+		heldBy, held = leader, res.Msg.GetFollowersDigest()
+		if res.Msg.GetRelaysDigest() != 0 {
+			con.relays.Learn(time.Now(), res.Msg.GetRelays())
+		}
 	}
 }
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -22,6 +22,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fplog"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
@@ -91,6 +92,8 @@
 	metrics       metrics
 	// rates holds the request rates that upstreams have named for all entry VMs together.
 	rates *fprate.Pool
+	// relays holds the entry VMs that can relay requests for others.
+	relays *fprelay.Directory
 	// quarantine counts the upstream crashes of requests while this VM leads.
 	quarantine quarantine
 	// initialState is the state that this VM stored before it started, or nil.
@@ -116,6 +119,7 @@
 		followers:     newFollowers(),
 		announcements: newAnnouncements(),
 		rates:         fprate.NewPool(),
+		relays:        fprelay.NewDirectory(),
 		seeds:         cfg.Seeds,
 		peers:         map[string]fpstateconnect.StateServiceClient{},
 		lastContact:   map[string]time.Time{},
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -119,12 +119,13 @@
 func (ser *service) Watch(ctx context.Context, req *connect.Request[fpstate.WatchRequest]) (*connect.Response[fpstate.WatchResponse], error) {
 	con := ser.con
 	con.followers.record(req.Msg.GetVm())
+	con.relays.Follow(time.Now(), req.Msg.GetEntry())
 	timer := time.NewTimer(req.Msg.GetWait().AsDuration())
 	defer timer.Stop()
 	for {
 		changed, leaderChange := con.directory.Changed(), con.leadershipChanged()
 		if last := con.storedState(req.Msg.GetAfter()); last != nil {
-			return connect.NewResponse(last), nil
+			return con.withRelays(req.Msg, last), nil
 		}
 		sta, index := con.directory.Since(req.Msg.GetAfter())
 		// A caller that has followed another VM may be a few entries ahead. This VM then waits for these entries and does
@@ -132,13 +133,13 @@
 		behind := index < req.Msg.GetAfter()
 		stale := con.stale(ctx)
 		if stale || !behind && !fpdirectory.IsEmpty(sta) {
-			return connect.NewResponse(con.watchResponse(sta, index, stale)), nil
+			return con.withRelays(req.Msg, con.watchResponse(sta, index, stale)), nil
 		}
 		select {
 		case <-changed:
 		case <-leaderChange:
 		case <-timer.C:
-			return connect.NewResponse(con.watchResponse(sta, index, behind)), nil
+			return con.withRelays(req.Msg, con.watchResponse(sta, index, behind)), nil
 		case <-ctx.Done():
 			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
 		}
@@ -173,6 +174,14 @@
 	return res
 }
 
+// withRelays adds the relays for the sender of a Watch call to the answer, unless it knows them.
+func (con *Control) withRelays(req *fpstate.WatchRequest, res *fpstate.WatchResponse) *connect.Response[fpstate.WatchResponse] {
+	if req.GetEntry() != nil {
+		res.Relays, res.RelaysDigest = con.relays.Pick(time.Now(), req.GetEntry(), req.GetRelaysDigest())
+	}
+	return connect.NewResponse(res)
+}
+
 // withoutDocument removes the document from the configuration of a state, because entry VMs do not need it. It changes sta but
 // not the configuration itself, which is shared.
 func withoutDocument(sta *fpstate.State) *fpstate.State {
@@ -201,17 +210,21 @@
 	}), nil
 }
 
-// Announce records the announcements that another control VM has received, and the number of entry VMs that follow it.
+// Announce records the announcements that another control VM has received, and the entry VMs that follow it.
 func (ser *service) Announce(_ context.Context, req *connect.Request[fpstate.AnnounceRequest]) (*connect.Response[fpstate.AnnounceResponse], error) {
 	con := ser.con
 	for _, ann := range req.Msg.GetAnnouncements() {
 		con.announcements.record(ann.GetUpstream(), ann.GetSequence())
 	}
-	return connect.NewResponse(&fpstate.AnnounceResponse{
-		Leader:  con.group.Status().Leader,
-		Entries: con.followers.report(req.Msg.GetVm(), req.Msg.GetEntries()),
-		Rates:   con.encodedRates(),
-	}), nil
+	now := time.Now()
+	res := &fpstate.AnnounceResponse{
+		Leader:          con.group.Status().Leader,
+		Entries:         con.followers.report(req.Msg.GetVm(), req.Msg.GetEntries()),
+		Rates:           con.encodedRates(),
+		FollowersDigest: con.relays.Report(now, req.Msg.GetVm(), req.Msg.GetFollowers(), req.Msg.GetFollowersDigest()),
+	}
+	res.Relays, res.RelaysDigest = con.relays.All(now, req.Msg.GetRelaysDigest())
+	return connect.NewResponse(res), nil
 }
 
 // Read returns the newest configuration if this VM leads with a valid lease. Otherwise, the response is not current.
--- /dev/null
+++ b/internal/route/fprelay/peers.go
@@ -0,0 +1,240 @@
+package fprelay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+)
+
+// Distance is the location of a VM or upstream relative to a VM.
+type Distance uint8
+
+// The distances, in order of preference.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+func distanceBetween(one, other *fpstate.EntryVM) Distance {
+	switch {
+	case one.GetDataCentre() == other.GetDataCentre():
+		return SameDataCentre
+	case one.GetRegion() == other.GetRegion():
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
+const (
+	// minHoldDown and maxHoldDown bound how long a peer is not asked after it could not be reached or had no paths itself. The
+	// time doubles with each failure in a row.
+	minHoldDown = 200 * time.Millisecond
+	maxHoldDown = 2 * time.Second
+	// busyHoldDown is how long a peer without room is not asked.
+	busyHoldDown = 100 * time.Millisecond
+	// provenFor is how long after its last success a peer counts as proven. Others get few requests at a time.
+	provenFor = 2 * time.Second
+	// silentAfter is how long a peer with requests in flight may give no answer until it no longer counts as proven. A frozen VM
+	// gives none.
+	silentAfter = 500 * time.Millisecond
+	// maxUnproven is the number of requests in flight at a peer that is not proven, unless no other peer is left.
+	maxUnproven = 2
+)
+
+// Failure is why a peer did not relay a request.
+type Failure uint8
+
+// The failures.
+const (
+	// Unreachable means that the peer could not be reached, or was lost with the request.
+	Unreachable Failure = iota
+	// Stranded means that the peer has lost its own paths.
+	Stranded
+	// Busy means that the peer has no room.
+	Busy
+)
+
+// Peer is another entry VM that may relay requests. It is used through Peers.
+type Peer struct {
+	entry    *fpstate.EntryVM
+	distance Distance
+	// The mutex of Peers guards the fields below.
+	inFlight int
+	// answeredAt is when the peer last answered, or when the first of the requests in flight was sent.
+	answeredAt time.Time
+	provenAt   time.Time
+	heldUntil  time.Time
+	holdDown   time.Duration
+}
+
+// VM returns the name of the VM.
+func (pee *Peer) VM() string { return pee.entry.GetVm() }
+
+// Address returns the IP number and port of the VM's listener for relayed requests.
+func (pee *Peer) Address() string { return pee.entry.GetAddress() }
+
+// DataCentre returns the data centre of the VM.
+func (pee *Peer) DataCentre() string { return pee.entry.GetDataCentre() }
+
+// Region returns the region of the VM.
+func (pee *Peer) Region() string { return pee.entry.GetRegion() }
+
+// Distance returns the location of the VM relative to this one.
+func (pee *Peer) Distance() Distance { return pee.distance }
+
+// Peers holds the entry VMs that this one may ask to relay requests. Use NewPeers to create one. It is safe for concurrent use.
+type Peers struct {
+	own *fpstate.EntryVM
+
+	mutex  sync.Mutex
+	digest uint64
+	all    []*Peer
+}
+
+// NewPeers returns an empty list for the entry VM own.
+func NewPeers(own *fpstate.EntryVM) *Peers {
+	return &Peers{
+		own: own,
+	}
+}
+
+// Update replaces the list and returns the peers that are no longer in it. What is known of the others stays.
+func (prs *Peers) Update(entries []*fpstate.EntryVM, digest uint64) []*Peer {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	old := map[string]*Peer{}
+	for _, pee := range prs.all {
+		old[key(pee.entry)] = pee
+	}
+	prs.digest = digest
+	prs.all = nil
+	for _, ent := range entries {
+		pee := old[key(ent)]
+		delete(old, key(ent))
+		if pee == nil {
+			pee = &Peer{}
+		}
+		pee.entry = ent
+		pee.distance = distanceBetween(prs.own, ent)
+		prs.all = append(prs.all, pee)
+	}
+	var removed []*Peer
+	for _, pee := range old {
+		removed = append(removed, pee)
+	}
+	return removed
+}
+
+// Digest returns the digest with which the list was last updated, or 0.
+func (prs *Peers) Digest() uint64 {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	return prs.digest
+}
+
+// Len returns the number of peers, and of those that may be asked now.
+func (prs *Peers) Len(now time.Time) (all, usable int) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	for _, pee := range prs.all {
+		if !now.Before(pee.heldUntil) {
+			usable++
+		}
+	}
+	return len(prs.all), usable
+}
+
+// Choose returns the peer to ask, or nil: a near one before a far one, and of two random ones that which has lately relayed a
+// request, or has fewer requests of this VM in flight. excluded peers are not returned.
+func (prs *Peers) Choose(now time.Time, excluded func(*Peer) bool) *Peer {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	usable := func(pee *Peer) bool { return !now.Before(pee.heldUntil) && !excluded(pee) }
+	nearest := prs.nearest(func(pee *Peer) bool { return usable(pee) && (pee.proven(now) || pee.inFlight < maxUnproven) })
+	if len(nearest) == 0 {
+		nearest = prs.nearest(func(pee *Peer) bool { return usable(pee) && !pee.silent(now) })
+	}
+	if len(nearest) == 0 {
+		return nil
+	}
+	one, other := nearest[rand.IntN(len(nearest))], nearest[rand.IntN(len(nearest))]
+	if one.proven(now) != other.proven(now) {
+		if one.proven(now) {
+			return one
+		}
+		return other
+	}
+	if other.inFlight < one.inFlight {
+		return other
+	}
+	return one
+}
+
+// nearest returns those of the usable peers that are nearest. The caller holds the mutex.
+func (prs *Peers) nearest(usable func(*Peer) bool) []*Peer {
+	var nearest []*Peer
+	for _, pee := range prs.all {
+		if len(nearest) > 0 && pee.distance > nearest[0].distance || !usable(pee) {
+			continue
+		}
+		if len(nearest) > 0 && pee.distance < nearest[0].distance {
+			nearest = nearest[:0]
+		}
+		nearest = append(nearest, pee)
+	}
+	return nearest
+}
+
+// proven reports whether the peer has lately relayed a request and is not silent.
+func (pee *Peer) proven(now time.Time) bool {
+	return now.Sub(pee.provenAt) < provenFor && !pee.silent(now)
+}
+
+// silent reports whether the peer has requests in flight and has not answered for a while.
+func (pee *Peer) silent(now time.Time) bool {
+	return pee.inFlight > 0 && now.Sub(pee.answeredAt) > silentAfter
+}
+
+// Begin counts a request that is sent to a peer.
+func (prs *Peers) Begin(pee *Peer, now time.Time) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	if pee.inFlight == 0 {
+		pee.answeredAt = now
+	}
+	pee.inFlight++
+}
+
+// End counts the end of a request at a peer.
+func (prs *Peers) End(pee *Peer) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	pee.inFlight--
+}
+
+// Succeed records that a peer has relayed a request to an upstream.
+func (prs *Peers) Succeed(pee *Peer, now time.Time) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	pee.provenAt, pee.answeredAt, pee.holdDown, pee.heldUntil = now, now, 0, time.Time{}
+}
+
+// Fail records that a peer has not relayed a request, and holds it down.
+func (prs *Peers) Fail(pee *Peer, now time.Time, fai Failure) {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	if fai == Busy {
+		pee.heldUntil = now.Add(busyHoldDown)
+		return
+	}
+	if now.Before(pee.heldUntil) {
+		return // requests that were in flight together fail together
+	}
+	pee.holdDown = min(maxHoldDown, max(minHoldDown, 2*pee.holdDown))
+	pee.heldUntil = now.Add(pee.holdDown)
+	pee.provenAt = time.Time{}
+}
