fpforward, fpgate: relay requests through another entry VM when the own paths are lost

In the first two seconds requests hung on open connections.

Cause: an entry VM had one way to an upstream, its own connection, and took a lost path for a lost upstream.

Change: each VM keeps the state of its own path to each upstream. A path is lost when no connection can be opened; it is checked when a request has had no answer for 150 ms and no upstream was heard, and losing two makes those suspect that were not heard since. An attempt at an upstream whose path is lost goes through one other entry VM, which makes one attempt on its own path and passes the answer on. The VM of the caller still decides on retries, budgets and at most once. Probes find out when the path is well; the first success wakes the others. A refused connection counts as a crash only if another VM sees it, too.

Measured: TestCallersOfVMWithoutPathsAreServed failed in all 8 subtests before and passes. Tests of single parts in relay_test.go.

--- a/internal/config/fpgateway/settings.go
+++ b/internal/config/fpgateway/settings.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -35,6 +36,7 @@
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
 	Control string `json:"control"`
+	Relay   string `json:"relay"`
 	Metrics string `json:"metrics"`
 }
 
@@ -114,6 +116,7 @@
 		{field: "listen.ready", address: fil.Listen.Ready},
 		{field: "listen.control", address: fil.Listen.Control},
 		{field: "listen.metrics", address: fil.Listen.Metrics},
+		{field: "listen.relay", address: fil.Listen.Relay},
 	} {
 		if _, err := netip.ParseAddrPort(lis.address); lis.address != "" && err != nil {
 			fault(lis.field, strconv.Quote(lis.address)+" is not an IP number and port")
@@ -158,6 +161,19 @@
 // Ready returns the address of the readiness check, which reports whether the VM accepts callers. It is set if Callers is.
 func (set *Settings) Ready() string { return set.file.Listen.Ready }
 
+// Relay returns the address of the listener for requests that this VM relays for other entry VMs. Without one in the file it
+// is any free port of the address for callers.
+func (set *Settings) Relay() string {
+	if set.file.Listen.Relay != "" {
+		return set.file.Listen.Relay
+	}
+	host, _, err := net.SplitHostPort(set.file.Listen.Callers)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, "0")
+}
+
 // Control returns the address of the listener for upstreams, operators and other VMs, or "" if there is none.
 func (set *Settings) Control() string { return set.file.Listen.Control }
 
--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpforward"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
 const (
@@ -38,6 +41,8 @@
 	watcher   *watcher
 	stopping  atomic.Bool
 	servers   *servers
+	// relay serves the requests that other entry VMs cannot send themselves.
+	relay *http.Server
 }
 
 // New returns the entry VM with the given settings.
@@ -49,6 +54,7 @@
 		set: set,
 		log: log,
 		forwarder: fpforward.New(fpforward.Config{
+			VM:          set.VM(),
 			DataCentre:  set.DataCentre(),
 			Region:      set.Region,
 			Promises:    set.Promises(),
@@ -88,6 +94,24 @@
 	if err != nil {
 		return fperror.Wrap(fperror.InvalidSettings, err, "listen for readiness checks")
 	}
+	relay, err := net.Listen("tcp", gat.set.Relay())
+	if err != nil {
+		return fperror.Wrap(fperror.InvalidSettings, err, "listen for relayed requests")
+	}
+	gat.watcher.entry = &fpstate.EntryVM{
+		Vm:         gat.set.VM(),
+		Address:    reachableAddress(relay.Addr()),
+		DataCentre: gat.set.DataCentre(),
+		Region:     gat.set.Region(gat.set.DataCentre()),
+	}
+	gat.relay = &http.Server{
+		Handler:           http.HandlerFunc(gat.forwarder.ServeRelayed),
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		// The library would answer OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := http.NewServeMux()
@@ -99,9 +123,10 @@
 	}
 	gat.servers = newServers(callers, gat.forwarder)
 	gat.servers.beginPipelined = gat.forwarder.BeginPipelined
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- gat.servers.serve() }()
+	go func() { failed <- gat.relay.Serve(relay) }()
 	var wgr sync.WaitGroup
 	for _, task := range []func(context.Context){gat.watcher.watch, gat.watcher.report, gat.trim} {
 		wgr.Go(func() { task(runCtx) })
@@ -114,9 +139,19 @@
 	cancel()
 	wgr.Wait()
 	_ = readiness.Close() // readiness checks in flight need no answer any more
+	_ = gat.relay.Close() // requests that are still in flight have been waited for
 	return err
 }
 
+// reachableAddress returns the address of a listener for other VMs, or "" if it listens on all addresses of this VM, so that
+// others cannot tell by which they reach it.
+func reachableAddress(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok && tcp.IP.IsUnspecified() {
+		return ""
+	}
+	return address.String()
+}
+
 // serveReady tells the load balancer whether this VM accepts callers: with status 200, or 503.
 func (gat *Gate) serveReady(wri http.ResponseWriter, _ *http.Request) {
 	if gat.stopping.Load() || !gat.forwarder.Ready() {
@@ -138,6 +173,9 @@
 	if err := gat.servers.shutdown(ctx); err != nil {
 		gat.log.Warn("connections of callers were still open at the stop deadline", zap.Error(err))
 	}
+	if err := gat.relay.Shutdown(ctx); err != nil {
+		gat.log.Warn("relayed requests were still in flight at the stop deadline", zap.Error(err))
+	}
 }
 
 // trim closes idle connections to upstreams that are no longer needed, and applies changed limits for callers, until ctx
--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpcut"
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fpcontrol"
@@ -27,8 +29,8 @@
 	t       *testing.T
 	control string
 	gates   []*Gate
-	entries []string    // addresses for callers
-	paths   []*pathCuts // paths of the entry VMs to upstreams
+	entries []string       // addresses for callers
+	paths   []*fpcut.Paths // paths of the entry VMs to upstreams
 	client  *http.Client
 	last    atomic.Int64 // number of the last attempt
 }
@@ -62,13 +64,13 @@
 	for num := range entries {
 		address := freeAddress(t)
 		set, err := fpgateway.Parse(fmt.Appendf(nil, `{"vm":"entry-%d","dataCentre":"a","region":"r","regions":{"a":"r"},"seeds":[%q],
-			"listen":{"callers":%q,"ready":%q},"promises":{"stop":"1s"}}`, num, dep.control, address, freeAddress(t)))
+			"listen":{"callers":%q,"ready":%q,"relay":%q},"promises":{"stop":"1s"}}`, num, dep.control, address, freeAddress(t), freeAddress(t)))
 		if err != nil {
 			t.Fatal(err)
 		}
-		cut := &pathCuts{}
-		dep.paths = append(dep.paths, cut)
-		gat := newGate(set, zap.NewNop(), cut.dial)
+		pat := &fpcut.Paths{}
+		dep.paths = append(dep.paths, pat)
+		gat := newGate(set, zap.NewNop(), pat.Dial)
 		dep.gates = append(dep.gates, gat)
 		dep.entries = append(dep.entries, address)
 		ended = append(ended, gat.Run(ctx))
@@ -93,14 +95,24 @@
 	return dep
 }
 
-// freeAddress returns a loopback address with a free port.
+// lastPort is the last port that freeAddress has returned.
+var lastPort atomic.Int32
+
+// freeAddress returns a loopback address with a free port, another one at each call. It lies below the ports that the system gives
+// to outgoing connections, of which one could take it before it is used.
 func freeAddress(t *testing.T) string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, count = 12000, 20000
+	lastPort.CompareAndSwap(0, first+int32(os.Getpid()*131%count))
+	for range count {
+		port := first + (lastPort.Add(1)-first)%count
+		lis, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err == nil {
+			_ = lis.Close()
+			return lis.Addr().String()
+		}
 	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // waitFor waits until a condition holds. It fails the test after 15 s.
--- a/internal/node/fpgate/stranded_test.go
+++ b/internal/node/fpgate/stranded_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpcut"
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
@@ -167,7 +168,7 @@
 // TestCallersOfVMWithoutPathsAreServed guards against callers that are refused because their entry VM has lost its paths to the
 // upstreams, while other entry VMs still reach them.
 func TestCallersOfVMWithoutPathsAreServed(t *testing.T) {
-	for _, loss := range []pathLoss{pathHangs, pathReset, pathRefused, pathOneWay} {
+	for _, loss := range []fpcut.Loss{fpcut.Hangs, fpcut.Reset, fpcut.Refused, fpcut.OneWay} {
 		for _, keyed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s,keyed=%t", loss, keyed), func(t *testing.T) {
 				t.Parallel()
@@ -179,10 +180,10 @@
 				}
 				dep.waitFor("requests are served", func() bool { status, _ := dep.send(0, 1); return status == http.StatusOK })
 				dep.loadKinds(dep.allEntries(), 20, 2*time.Second)
-				for _, pac := range dep.paths[:cut] {
-					pac.cut(loss, nil)
+				for _, pat := range dep.paths[:cut] {
+					pat.Cut(loss, nil)
 				}
-				if loss == pathRefused {
+				if loss == fpcut.Refused {
 					// Open connections end for other reasons, too.
 					for _, gat := range dep.gates[:cut] {
 						gat.forwarder.CloseExpired(time.Now().Add(time.Minute))
@@ -191,8 +192,8 @@
 				_, during := dep.loadKinds(dep.allEntries(), 20, recoverTime)
 				tallies, once := dep.loadKinds(dep.allEntries(), 20, 2*time.Second)
 				checkServed(t, tallies, func(entry int) bool { return entry < cut })
-				for _, pac := range dep.paths[:cut] {
-					pac.heal()
+				for _, pat := range dep.paths[:cut] {
+					pat.Heal()
 				}
 				tallies, _ = dep.loadKinds(dep.allEntries(), 20, 2*time.Second)
 				checkServed(t, tallies, func(entry int) bool { return entry < cut })
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -56,6 +56,8 @@
 	vm         string
 	dataCentre string
 	region     string
+	// entry is this VM as others ask it to relay requests, or nil. It is set before watch.
+	entry *fpstate.EntryVM
 	// offset distributes the entry VMs over the control VMs. It is a hash of this VM's name.
 	offset    int
 	log       *zap.Logger
@@ -204,6 +206,9 @@
 		Vm:    wat.vm,
 		After: wat.forwarder.Index(),
 		Wait:  durationpb.New(wait),
+		Entry: wat.entry,
+
+		RelaysDigest: wat.forwarder.RelaysDigest(),
 	}))
 	if err != nil {
 		por.err = err
@@ -304,6 +309,9 @@
 	before := wat.forwarder.Configuration().GetRevision()
 	wat.forwarder.Update(por.res.GetState(), por.res.GetIndex(), por.res.GetEntries())
 	wat.forwarder.Rates().Learn(fprate.DecodeStatements(por.sentAt, por.res.GetRates()))
+	if digest := por.res.GetRelaysDigest(); digest != 0 && digest != wat.forwarder.RelaysDigest() {
+		wat.forwarder.SetRelays(por.res.GetRelays(), digest)
+	}
 	if after := wat.forwarder.Configuration().GetRevision(); after != before {
 		wat.log.Info("configuration in force", zap.Uint64("revision", after), zap.Uint64("before", before),
 			zap.Uint64("index", por.res.GetIndex()), zap.String("peer", por.address))
--- a/internal/route/fpforward/answer.go
+++ b/internal/route/fpforward/answer.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
-	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 )
 
 const (
@@ -27,11 +26,14 @@
 
 // readAnswer buffers the start of an answer's body and checks whether the caller may get the answer. The errors are those
 // of checkAnswer, OutcomeUnknown if the time ran out, and AnswerTruncated.
-func (exc *exchange) readAnswer(ctx context.Context, mem *member, con *fpconn.ExclusiveConn, res *http.Response, rep *reply) error {
+func (exc *exchange) readAnswer(ctx context.Context, mem *member, con link, res *http.Response, rep *reply) error {
 	from := exc.answerBody(ctx, res)
 	err := exc.bufferAnswer(ctx, from, res.ContentLength, rep)
 	if err != nil {
 		con.Close()
+		if errors.Is(context.Cause(ctx), errPathLost) {
+			return fperror.Wrap(fperror.UpstreamLost, errPathLost, "answer of upstream %s", mem.upstream.GetId())
+		}
 		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return fperror.Wrap(fperror.OutcomeUnknown, err, "the answer of upstream %s did not end in time", mem.upstream.GetId())
 		}
@@ -39,7 +41,7 @@
 	}
 	finish := func(complete bool) {
 		if complete && !res.Close {
-			mem.connections.Put(con, rep.answer.IdleTimeout)
+			con.pool.Put(con.ExclusiveConn, rep.answer.IdleTimeout)
 			return
 		}
 		con.Close()
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -76,6 +76,11 @@
 	if err := exc.refuseBeforeBody(); err != nil {
 		return nil, err
 	}
+	return exc.readBuffered(ctx, limit)
+}
+
+// readBuffered is readBody without the checks that come before it.
+func (exc *exchange) readBuffered(ctx context.Context, limit int64) (func(), error) {
 	size := exc.bodyBufferSize()
 	if err := exc.reserveBodyMemory(ctx, size); err != nil {
 		return nil, err
--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -31,6 +33,8 @@
 	// jitterFraction is the fraction of the expected time by which costs vary at random. Without it, all VMs would choose
 	// the same upstream at once, because they know the same load reports.
 	jitterFraction = 0.3
+	// relayCost is the cost of a relayed attempt beside those of the distances.
+	relayCost = 20 * time.Millisecond
 	// coldStartTime is how long a new upstream is expected to be slow, and coldStartFactor the factor of its mean time.
 	coldStartTime   = 3 * time.Second
 	coldStartFactor = 2
@@ -70,6 +74,8 @@
 	member   *member
 	state    memberState
 	keyRange *fpstate.Range
+	// peer is the entry VM that relays the attempt, or nil if it takes this VM's own path.
+	peer *fprelay.Peer
 	// waitForRate states that no other upstream can take the request, so that it waits for a token if the upstream has named
 	// a request rate.
 	waitForRate bool
@@ -139,7 +145,7 @@
 
 		waitForRate: true,
 	}
-	if !cho.state.usable {
+	if !cho.state.usable || !exc.findWay(&cho, now, func() *fprelay.Peer { return exc.choosePeer(now) }) {
 		return cho, fperror.New(fperror.NoUpstream, "upstream %s, which owns key %d, is held down after a failure", mem.upstream.GetId(), exc.info.Key)
 	}
 	if cho.state.atConnectionLimit(exc.maxConnections(vie), exc.fwd.entries.Load()) {
@@ -148,6 +154,20 @@
 	return cho, exc.admit(now, cho.state)
 }
 
+// findWay sets how an attempt reaches its upstream: on this VM's own path, or through a peer if that is lost. It reports whether
+// there is a way. choosePeer returns the peer, or nil.
+func (exc *exchange) findWay(cho *choice, now time.Time, choosePeer func() *fprelay.Peer) bool {
+	mem := cho.member
+	cho.state.path = exc.fwd.pathOf(mem, now)
+	if cho.state.path == pathWell {
+		return true
+	}
+	if !mem.relayHeld(now) {
+		cho.peer = choosePeer()
+	}
+	return cho.peer != nil || cho.state.path == pathSuspect
+}
+
 // chooseAny returns the upstream with the lowest cost. One that has named a request rate and has no token left is chosen only
 // if there is no other.
 func (exc *exchange) chooseAny() (choice, error) {
@@ -174,7 +194,7 @@
 	var best choice
 	lowestCost := time.Duration(-1)
 	for _, cho := range all {
-		if cost := exc.cost(cho.member, cho.state); lowestCost < 0 || cost < lowestCost {
+		if cost := exc.cost(cho); lowestCost < 0 || cost < lowestCost {
 			lowestCost = cost
 			best = cho
 		}
@@ -189,6 +209,7 @@
 	var known float64
 	var mean time.Duration
 	var load float64
+	choosePeer := sync.OnceValue(func() *fprelay.Peer { return exc.choosePeer(now) })
 	for _, mem := range vie.services[exc.service] {
 		if exc.tried[mem] {
 			continue
@@ -202,10 +223,13 @@
 		if !sta.usable || sta.atConnectionLimit(accepted, entries) {
 			continue
 		}
-		all = append(all, choice{
+		cho := choice{
 			member: mem,
 			state:  sta,
-		})
+		}
+		if exc.findWay(&cho, now, choosePeer) {
+			all = append(all, cho)
+		}
 	}
 	for num := range all {
 		cho := &all[num]
@@ -231,14 +255,18 @@
 }
 
 // cost returns the expected time of an answer, with jitter, plus the costs of the upstream's failures and distance.
-func (exc *exchange) cost(mem *member, sta memberState) time.Duration {
+func (exc *exchange) cost(cho choice) time.Duration {
+	mem, sta := cho.member, cho.state
 	cost := sta.expectedTime()
-	if sta.explorationDue && exc.mayExplore(mem, sta) {
+	if sta.explorationDue && cho.peer == nil && exc.mayExplore(mem, sta) {
 		// Otherwise an upstream that is new or was slow once would get no requests while others are idle.
 		cost = 0
 	}
 	cost += time.Duration((exc.fwd.random() - 0.5) * jitterFraction * float64(cost))
 	cost += time.Duration(sta.failureRate * float64(failureCost))
+	if pee := cho.peer; pee != nil {
+		return cost + relayCost + exc.distanceCost(distance(pee.Distance())) + exc.distanceCost(exc.fwd.distanceFrom(pee.DataCentre(), pee.Region(), mem.upstream))
+	}
 	return cost + exc.distanceCost(mem.distance)
 }
 
--- a/internal/route/fpforward/crash.go
+++ b/internal/route/fpforward/crash.go
@@ -66,6 +66,13 @@
 	return digests
 }
 
+// any reports whether there are requests that wait for the proof.
+func (itr *interruptedRequests) any() bool {
+	itr.mutex.Lock()
+	defer itr.mutex.Unlock()
+	return len(itr.requests) > 0
+}
+
 // crashReports are the crashes and cleared suspects to be reported to the leader of the control VMs.
 type crashReports struct {
 	mutex   sync.Mutex
@@ -144,7 +151,11 @@
 	defer mem.confirming.Store(false)
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
+	began := time.Now()
 	con, err := mem.connections.Open(ctx)
+	if err == nil {
+		fwd.proveDirect(mem, time.Now())
+	}
 	if err == nil && keep {
 		mem.connections.Put(con, 0)
 		return
@@ -156,10 +167,8 @@
 	if !processEnded(err) {
 		return
 	}
-	fwd.recordCrash(mem, time.Now())
-	if mem.holdDownUnreachable(time.Now()) {
-		go fwd.probe(mem)
-	}
+	fwd.losePath(mem, began, err)
+	fwd.confirmEnded(mem)
 }
 
 // clearSuspect removes the request from the suspects, because an upstream has answered it.
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
@@ -67,6 +68,14 @@
 	answerBegun bool
 	// rateWait is when the chosen upstream, which has named a request rate, is expected to take requests again.
 	rateWait time.Duration
+	// relayed states that the request is one of another entry VM, for which this VM makes one attempt on its own path.
+	relayed bool
+	// refusedPeers are the peers that are not asked again for this request, and relayFailures is the number of failures to get
+	// an upstream's answer through a peer.
+	refusedPeers  map[*fprelay.Peer]bool
+	relayFailures int
+	// upstreamRefusal is the last answer of an upstream that did not run the request.
+	upstreamRefusal *reply
 	// ownerFull states that the owner of the key has refused the request because its queue is full.
 	ownerFull bool
 }
@@ -89,7 +98,7 @@
 	tur := TurnOf(req)
 	waited := time.Since(tur.Arrived)
 	fwd.counters.observe("turn", waited)
-	fwd.counters.inFlight.Add(1)
+	fwd.relayRoom.observeOwn(fwd.counters.inFlight.Add(1))
 	defer fwd.counters.inFlight.Add(-1)
 	if pip := tur.Begun; pip != nil {
 		if pip.matches(req) {
@@ -261,6 +270,10 @@
 
 // mayRetry reports whether the request may be sent to another upstream after a failed attempt.
 func (exc *exchange) mayRetry(err error) bool {
+	var rel *relayError
+	if errors.As(err, &rel) && !rel.reason.sent() {
+		return rel.reason != relayRefused || !exc.keyed
+	}
 	if fperror.Is(err, fperror.Overloaded) && exc.keyed {
 		// Only the owner can run the request, and it accepts no new connection.
 		return false
@@ -276,45 +289,21 @@
 
 // attempt sends the request to one upstream. A nil error means that the answer is for the caller.
 func (exc *exchange) attempt(ctx context.Context, cho choice) (*reply, error) {
+	if cho.peer != nil {
+		return exc.relay(ctx, cho)
+	}
 	mem := cho.member
 	if err := exc.takeRate(ctx, cho); err != nil {
 		return nil, err
 	}
-	sent := false
-	defer func() {
-		if !sent {
-			exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
-		}
-	}()
-	con := mem.connections.Get(time.Now())
-	if con == nil && mem.connectPaused(time.Now()) {
-		exc.tried[mem] = true
-		return nil, fperror.New(fperror.Overloaded, "upstream %s resets new connections", mem.upstream.GetId())
-	}
-	var err error
-	if con == nil {
-		con, err = exc.openConnection(ctx, cho)
-	}
+	con, err := exc.connect(ctx, cho)
 	if err != nil {
-		exc.connectFailures++
-		exc.tried[mem] = true
-	}
-	if fperror.Is(err, fperror.Overloaded) {
-		return nil, err
-	}
-	if err != nil {
-		if processEnded(err) {
-			exc.fwd.recordCrash(mem, time.Now())
-		}
-		if ctx.Err() == nil && mem.holdDownUnreachable(time.Now()) {
-			go exc.fwd.probe(mem)
-		}
+		exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
 		return nil, err
 	}
 	if !con.Used() {
 		exc.fwd.counters.add("connections")
 	}
-	sent = true
 	exc.arrivals++
 	exc.runs++
 	exc.tried[mem] = true
@@ -322,8 +311,16 @@
 	mem.scheduleExploration(exc.fwd.exploreDelay())
 	tim := newProcessingTimer(time.Now())
 	sentAt := time.Now()
-	rep, err := exc.send(tim.trace(ctx, len(exc.body)), mem, con)
+	watched, stopWatch := exc.watchPath(ctx, mem, con.Received)
+	rep, err := exc.send(tim.trace(watched, len(exc.body)), mem, link{
+		ExclusiveConn: con,
+		pool:          mem.connections,
+	})
+	stopWatch()
 	mem.endRequest()
+	if rep != nil {
+		exc.fwd.proveDirect(mem, time.Now())
+	}
 	exc.observeRate(mem, sentAt, rep, err)
 	took := tim.elapsed(time.Now())
 	exc.fwd.counters.observe("upstream", took)
@@ -335,19 +332,64 @@
 		}
 		exc.recordInterruption(mem, time.Now(), !noRoom)
 	}
-	if err == nil {
-		exc.clearSuspect()
-		mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
-		if exc.keyed {
-			exc.fwd.load.addAnswer(exc.service, mem.upstream.GetId(), mem.state(time.Now()).mean)
-		}
-		if exc.retryFailedAnswer(rep) {
-			exc.fallback = rep
-			return nil, fperror.New(fperror.UpstreamLost, "upstream %s answered with status %d", mem.upstream.GetId(), rep.status)
+	return exc.finishAttempt(cho, rep, err, took)
+}
+
+// finishAttempt updates the state of the upstream after an attempt that has taken some time, and decides whether its answer is
+// for the caller.
+func (exc *exchange) finishAttempt(cho choice, rep *reply, err error, took time.Duration) (*reply, error) {
+	mem := cho.member
+	if err != nil {
+		exc.recordFailure(cho, rep, err, took)
+		return nil, err
+	}
+	exc.clearSuspect()
+	mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
+	if exc.keyed {
+		exc.fwd.load.addAnswer(exc.service, mem.upstream.GetId(), mem.state(time.Now()).mean)
+	}
+	if exc.retryFailedAnswer(rep) {
+		exc.fallback = rep
+		return nil, fperror.New(fperror.UpstreamLost, "upstream %s answered with status %d", mem.upstream.GetId(), rep.status)
+	}
+	return rep, nil
+}
+
+// connect returns a connection to the upstream of a choice. The error kinds are ConnectFailed and Overloaded, and both mean that
+// nothing was sent.
+func (exc *exchange) connect(ctx context.Context, cho choice) (*fpconn.ExclusiveConn, error) {
+	mem := cho.member
+	if !exc.relayed || mem.heardWithin(time.Now(), relayFreshness) {
+		if con := mem.connections.Get(time.Now()); con != nil {
+			return con, nil
 		}
-		return rep, nil
 	}
-	exc.recordFailure(cho, rep, err, took)
+	if mem.connectPaused(time.Now()) {
+		exc.tried[mem] = true
+		return nil, fperror.New(fperror.Overloaded, "upstream %s resets new connections", mem.upstream.GetId())
+	}
+	began := time.Now()
+	if all, _ := exc.fwd.peers.Len(began); all > 0 || exc.relayed {
+		// A peer may have a path if this VM has none.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+	}
+	con, err := exc.openConnection(ctx, cho)
+	if err == nil {
+		return con, nil
+	}
+	exc.connectFailures++
+	if fperror.Is(err, fperror.Overloaded) {
+		exc.tried[mem] = true
+		return nil, err
+	}
+	if processEnded(err) {
+		go exc.fwd.confirmEnded(mem)
+	}
+	if exc.request.Context().Err() == nil && time.Now().Before(exc.deadline) {
+		exc.fwd.losePath(mem, began, err)
+	}
 	return nil, err
 }
 
@@ -381,8 +423,12 @@
 	mem := cho.member
 	began := time.Now()
 	con, err := mem.connections.Open(ctx)
-	if err != nil || !mem.mayReset(began, cho.state) {
-		return con, err
+	if err != nil {
+		return nil, err
+	}
+	exc.fwd.proveDirect(mem, time.Now())
+	if !mem.mayReset(began, cho.state) {
+		return con, nil
 	}
 	wait := min(maxResetWait, exc.fwd.cfg.ResetWait+time.Since(began))
 	if con.StaysOpen(ctx, wait) {
@@ -397,7 +443,7 @@
 // retryFailedAnswer reports whether to make another attempt after an upstream answered with a status of 500 or more.
 func (exc *exchange) retryFailedAnswer(rep *reply) bool {
 	failed := rep.status >= http.StatusInternalServerError && rep.rest == nil
-	return failed && exc.repeatable() && !exc.keyed && exc.mayRetry(fperror.New(fperror.UpstreamLost, "status %d", rep.status)) &&
+	return failed && !exc.relayed && exc.repeatable() && !exc.keyed && exc.mayRetry(fperror.New(fperror.UpstreamLost, "status %d", rep.status)) &&
 		time.Until(exc.deadline) > exc.lastChoice.state.mean
 }
 
@@ -405,6 +451,9 @@
 func (exc *exchange) recordFailure(cho choice, rep *reply, err error, took time.Duration) {
 	mem := cho.member
 	now := time.Now()
+	if rep != nil && rep.answer.NotRun {
+		exc.upstreamRefusal = rep
+	}
 	switch fperror.KindOf(err) {
 	case fperror.UpstreamShed:
 		exc.runs--
@@ -420,26 +469,38 @@
 			exc.refusedFences[cho.keyRange.GetFence()] = true
 		}
 	case fperror.UpstreamLost, fperror.AnswerTruncated:
+		if errors.Is(err, errPathLost) || cho.peer != nil {
+			break // the upstream need not be at fault
+		}
 		mem.recordFailure()
 		if errors.Is(err, errAnswerTooLong) && mem.holdDownUnreachable(now) {
 			go exc.fwd.probe(mem)
 		}
 	case fperror.OutcomeUnknown:
-		if exc.request.Context().Err() == nil {
+		if exc.request.Context().Err() == nil && cho.peer == nil && exc.fwd.pathOf(mem, now) == pathWell {
 			mem.recordOverdue(now, took)
 		}
 	}
 	exc.fwd.counters.add("attempt." + fperror.KindOf(err).String())
 }
 
-// newUpstreamRequest returns the request to send to an upstream.
-func (exc *exchange) newUpstreamRequest(ctx context.Context, mem *member) *http.Request {
+// newUpstreamRequest returns the request to send to an upstream, or to the peer that relays it there.
+func (exc *exchange) newUpstreamRequest(ctx context.Context, mem *member, pee *fprelay.Peer) *http.Request {
 	out := exc.request.Clone(ctx)
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = mem.upstream.GetAddress()
 	out.Close = false
 	removeHopByHopHeaders(out.Header)
+	out.Header.Del(relayHeader)
+	if pee != nil {
+		out.Header.Set(relayHeader, relayOrder{
+			born:        mem.upstream.GetBorn(),
+			kind:        exc.route.GetKind(),
+			objective:   exc.route.GetObjective().AsDuration(),
+			lowPriority: exc.lowPriority,
+		}.encode())
+	}
 	platform.EncodeAttempt(out.Header, mem.upstream.GetId(), time.Until(exc.deadline))
 	if _, ok := out.Header["User-Agent"]; !ok {
 		// Without an entry the transport would add its own.
@@ -450,24 +511,41 @@
 }
 
 // probe opens connections to an upstream that could not be reached, until one succeeds or the upstream is not in use any
-// more. It waits for the end of the hold-down before each one.
+// more. It waits for the end of the hold-down before each one, or until the path to another upstream is well again.
 func (fwd *Forwarder) probe(mem *member) {
 	for {
-		time.Sleep(mem.holdDownRemaining(time.Now()))
+		fwd.awaitProbe(mem)
 		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 		con, err := mem.connections.Open(ctx)
 		cancel()
 		if err == nil {
 			mem.connections.Put(con, 0)
 		} else if processEnded(err) {
-			fwd.recordCrash(mem, time.Now())
+			fwd.confirmEnded(mem)
 		}
+		lost := mem.isPathLost()
 		if !mem.recordProbe(time.Now(), err == nil) || !fwd.knows(mem) {
+			if err == nil && lost {
+				fwd.paths.provenAt.Store(time.Now().UnixNano())
+				fwd.paths.restore()
+			}
 			return
 		}
 	}
 }
 
+// awaitProbe waits until an upstream is to be probed.
+func (fwd *Forwarder) awaitProbe(mem *member) {
+	restored := fwd.paths.awaitRestored()
+	timer := time.NewTimer(mem.holdDownRemaining(time.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-restored:
+		time.Sleep(time.Duration(fwd.random() * float64(minProbePause)))
+	}
+}
+
 // knows reports whether the member is in use.
 func (fwd *Forwarder) knows(mem *member) bool {
 	return fwd.view.Load().active[incarnation{
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -25,11 +25,14 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
 // Config configures a Forwarder.
 type Config struct {
+	// VM is the name of this VM.
+	VM string
 	// DataCentre is that of this VM.
 	DataCentre string
 	// Region returns the region of a data centre.
@@ -67,8 +70,14 @@
 	quarantine *fpquarantine.List
 	crashes    crashReports
 	// rates admits requests to upstreams that have named a request rate for all entry VMs together.
-	rates    *fprate.Limiter
-	stopping atomic.Bool
+	rates *fprate.Limiter
+	// paths tracks the losses of this VM's own paths to upstreams. peers are the entry VMs that may relay requests instead,
+	// peerPools the connections to them, and relayRoom bounds what this VM relays for others.
+	paths     pathTracker
+	peers     *fprelay.Peers
+	peerPools peerPools
+	relayRoom relayRoom
+	stopping  atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
 	entries atomic.Uint32
 
@@ -132,6 +141,11 @@
 				zap.Bool("limited", sta.Limited), zap.Float64("perSecond", sta.PerSecond))
 		},
 	})
+	fwd.peers = fprelay.NewPeers(&fpstate.EntryVM{
+		Vm:         cfg.VM,
+		DataCentre: cfg.DataCentre,
+		Region:     fwd.region,
+	})
 	fwd.counters.init()
 	fwd.entries.Store(1)
 	fwd.view.Store(&view{
@@ -292,6 +306,7 @@
 	for _, mem := range fwd.view.Load().active {
 		mem.connections.CloseExpired(now)
 	}
+	fwd.peerPools.closeExpired(now)
 }
 
 // random returns a random number in [0, 1).
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -109,23 +109,40 @@
 	holdDownUntil time.Time
 	holdDown      time.Duration
 	probing       bool
-	failureRate   float64 // moving mean, from 0 to 1
+	// pathLost states that this VM could not open its last connection to the upstream. provenAt is when it last heard the
+	// upstream on its own path, and check the check of the path that is running, or nil.
+	pathLost bool
+	provenAt time.Time
+	check    *pathCheck
+	// relayed is the number of requests in flight that this VM has sent for other VMs. inFlight includes them.
+	relayed int
+	// relayMisses counts the peers in a row that could not reach the upstream either, and relayHeldUntil is until when none is
+	// asked. relayHold is the length of the last such time.
+	relayMisses    int
+	relayHeldUntil time.Time
+	relayHold      time.Duration
+	failureRate    float64 // moving mean, from 0 to 1
 	// connectPauseUntil is until when no new connections are opened, and connectPause the length of the last pause.
 	connectPauseUntil time.Time
 	connectPause      time.Duration
 }
 
-func (fwd *Forwarder) newMember(ups *fpstate.Upstream) *member {
-	dis := otherRegion
+// distanceFrom returns the distance of an upstream from a data centre.
+func (fwd *Forwarder) distanceFrom(dataCentre, region string, ups *fpstate.Upstream) distance {
 	switch {
-	case ups.GetDataCentre() == fwd.cfg.DataCentre:
-		dis = sameDataCentre
-	case fwd.cfg.Region(ups.GetDataCentre()) == fwd.region:
-		dis = sameRegion
+	case ups.GetDataCentre() == dataCentre:
+		return sameDataCentre
+	case fwd.cfg.Region(ups.GetDataCentre()) == region:
+		return sameRegion
+	default:
+		return otherRegion
 	}
+}
+
+func (fwd *Forwarder) newMember(ups *fpstate.Upstream) *member {
 	return &member{
 		upstream: ups,
-		distance: dis,
+		distance: fwd.distanceFrom(fwd.cfg.DataCentre, fwd.region, ups),
 		connections: fpconn.NewExclusivePool(fpconn.ExclusivePoolConfig{
 			Upstream:       ups.GetId(),
 			Address:        ups.GetAddress(),
@@ -135,6 +152,7 @@
 			Dial:           fwd.cfg.Dial,
 		}),
 		joinedAt:  time.Now(),
+		provenAt:  time.Now(),
 		exploreAt: time.Now().Add(coldStartTime + time.Duration(fwd.random()*float64(exploreSpread))),
 	}
 }
@@ -160,8 +178,12 @@
 
 // memberState is the state of an upstream on which its choice is based.
 type memberState struct {
-	usable   bool
+	usable bool
+	// path is the state of this VM's own path to the upstream. usable does not depend on it.
+	path pathStatus
+	// inFlight is the number of requests of this VM's callers in flight, and relayed that of other VMs'.
 	inFlight int
+	relayed  int
 	// load is the estimated number of requests at the upstream.
 	load float64
 	// loadAge is the age of the last load report, or negative if there was none.
@@ -191,8 +213,9 @@
 		other = meanOther + (mem.otherLoad-meanOther)*decay(age, reportHalfLife)
 	}
 	sta := memberState{
-		usable:      !now.Before(mem.holdDownUntil),
-		inFlight:    mem.inFlight,
+		usable:      mem.pathLost || !now.Before(mem.holdDownUntil),
+		inFlight:    mem.inFlight - mem.relayed,
+		relayed:     mem.relayed,
 		load:        float64(mem.inFlight) + other,
 		loadAge:     age,
 		mean:        mem.mean + time.Duration(float64(mem.excess)*decay(now.Sub(mem.overdueAt), silenceHalfLife)),
@@ -234,10 +257,13 @@
 // atConnectionLimit reports whether this VM uses its share of the connections that an upstream accepts, given the number of
 // entry VMs. accepted is 0 if the number of connections is not limited.
 func (sta memberState) atConnectionLimit(accepted, entries uint32) bool {
-	if accepted == 0 {
-		return false
-	}
-	return sta.inFlight >= max(minConnections, int(connectionFraction*float64(accepted)/float64(max(1, entries))))
+	return accepted > 0 && sta.inFlight >= connectionShare(accepted, entries)
+}
+
+// connectionShare returns this VM's share of the connections that an upstream accepts. Requests that it relays for others have
+// another share, which those VMs do not use meanwhile.
+func connectionShare(accepted, entries uint32) int {
+	return max(minConnections, int(connectionFraction*float64(accepted)/float64(max(1, entries))))
 }
 
 // recordReset records that the upstream has reset a new connection, and pauses the opening of connections.
@@ -302,8 +328,10 @@
 func (mem *member) recordAnswer(now time.Time, ans platform.Answer, took time.Duration, failed bool) {
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
-	mem.holdDown = 0
-	mem.holdDownUntil = time.Time{}
+	if !mem.pathLost {
+		mem.holdDown = 0
+		mem.holdDownUntil = time.Time{}
+	}
 	fail := 0.0
 	if failed {
 		fail = 1
@@ -352,6 +380,20 @@
 	mem.meanOtherLoad += reportWeight * (mem.otherLoad - mem.meanOtherLoad)
 }
 
+// heardWithin reports whether this VM has heard the upstream on its own path within a time.
+func (mem *member) heardWithin(now time.Time, length time.Duration) bool {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	return now.Sub(mem.provenAt) <= length
+}
+
+// isPathLost reports whether this VM could not open its last connection to the upstream.
+func (mem *member) isPathLost() bool {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	return mem.pathLost
+}
+
 // recordShed starts a short hold-down after the upstream has shed a request.
 func (mem *member) recordShed(now time.Time) {
 	mem.mutex.Lock()
@@ -389,6 +431,8 @@
 	defer mem.mutex.Unlock()
 	if reached {
 		mem.holdDownUntil = time.Time{}
+		mem.pathLost = false
+		mem.provenAt = now
 		mem.probing = false
 		return false
 	}
--- /dev/null
+++ b/internal/route/fpforward/relay_test.go
@@ -0,0 +1,214 @@
+package fpforward
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpcut"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
+)
+
+// relayPair is an entry VM whose paths can be cut, and another one that relays for it.
+type relayPair struct {
+	*harness
+	paths  *fpcut.Paths
+	helper *harness
+	relay  *httptest.Server
+	// helperPaths are those of the other VM.
+	helperPaths *fpcut.Paths
+}
+
+func newRelayPair(t *testing.T) *relayPair {
+	par := &relayPair{
+		paths:       &fpcut.Paths{},
+		helperPaths: &fpcut.Paths{},
+	}
+	par.harness = newHarnessWith(t, func(cfg *Config) {
+		cfg.VM = "own"
+		cfg.Dial = par.paths.Dial
+	})
+	par.helper = newHarnessWith(t, func(cfg *Config) {
+		cfg.VM = "helper"
+		cfg.Dial = par.helperPaths.Dial
+	})
+	par.relay = httptest.NewServer(http.HandlerFunc(par.helper.forward.ServeRelayed))
+	t.Cleanup(par.relay.Close)
+	par.forward.SetRelays([]*fpstate.EntryVM{{
+		Vm:         "helper",
+		Address:    strings.TrimPrefix(par.relay.URL, "http://"),
+		DataCentre: "east-1",
+		Region:     "east",
+	}}, 1)
+	return par
+}
+
+// addWorker starts a worker that both VMs know.
+func (par *relayPair) addWorker(service string, fault func(string) fpworker.Fault) *fpworker.Worker {
+	wor := par.harness.addWorker(service, fault)
+	par.helper.update(&fpstate.State{
+		Upstreams: []*fpstate.Upstream{wor.Upstream()},
+	})
+	return wor
+}
+
+// get sends a request to a VM and returns its status, or 0.
+func (par *relayPair) get(har *harness, path string) int {
+	req, err := http.NewRequest(http.MethodPost, har.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		par.t.Error(err)
+		return 0
+	}
+	platform.EncodeRequest(req.Header, platform.Request{
+		Attempt: fmt.Sprint("attempt-", par.lastAttempt.Add(1)),
+		Timeout: time.Second,
+	})
+	res, err := har.server.Client().Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+func (har *harness) metrics() string {
+	var text bytes.Buffer
+	har.forward.WriteMetrics(&text)
+	return text.String()
+}
+
+// TestRelayedRequestRunsOnce guards against a request that runs twice because the VM that relays it is lost after it has sent it,
+// and against one that is refused as not run although it may have.
+func TestRelayedRequestRunsOnce(t *testing.T) {
+	par := newRelayPair(t)
+	par.workTime = 200 * time.Millisecond
+	wor := par.addWorker("work", nil)
+	par.paths.Cut(fpcut.Refused, nil)
+	time.AfterFunc(100*time.Millisecond, par.relay.CloseClientConnections)
+	if status := par.get(par.harness, "/once/"); status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502", status)
+	}
+	if runs := len(wor.Runs()); runs != 1 {
+		t.Errorf("the request ran %d times, want once", runs)
+	}
+}
+
+// TestRelayTakesOneHop guards against requests that go round between VMs that have both lost their paths. They must be refused
+// at once.
+func TestRelayTakesOneHop(t *testing.T) {
+	par := newRelayPair(t)
+	other := httptest.NewServer(http.HandlerFunc(par.forward.ServeRelayed))
+	t.Cleanup(other.Close)
+	par.helper.forward.SetRelays([]*fpstate.EntryVM{{
+		Vm:      "own",
+		Address: strings.TrimPrefix(other.URL, "http://"),
+	}}, 1)
+	wor := par.addWorker("work", nil)
+	par.paths.Cut(fpcut.Refused, nil)
+	par.helperPaths.Cut(fpcut.Refused, nil)
+	for range 5 {
+		began := time.Now()
+		if status := par.get(par.harness, "/once/"); status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", status)
+		}
+		if took := time.Since(began); took > 100*time.Millisecond {
+			t.Errorf("the refusal took %v", took)
+		}
+	}
+	if arrivals := wor.Arrivals(); arrivals > 0 {
+		t.Errorf("%d requests arrived", arrivals)
+	}
+	if strings.Contains(par.metrics(), "relayRefusals") {
+		t.Errorf("the helper asked this VM:\n%s", par.metrics())
+	}
+}
+
+// TestRelayLeavesRoomForOwnCallers guards against a VM that serves its own callers no longer because it relays the requests of
+// others.
+func TestRelayLeavesRoomForOwnCallers(t *testing.T) {
+	par := newRelayPair(t)
+	par.workTime = 100 * time.Millisecond
+	for range 8 {
+		par.addWorker("work", nil)
+	}
+	par.paths.Cut(fpcut.Refused, nil)
+	var wgr sync.WaitGroup
+	for range 120 {
+		wgr.Go(func() { par.get(par.harness, "/safe/") })
+	}
+	served := 0
+	for range 20 {
+		if par.get(par.helper, "/safe/") == http.StatusOK {
+			served++
+		}
+	}
+	wgr.Wait()
+	if served < 18 {
+		t.Errorf("the helper served %d of 20 requests of its own callers", served)
+	}
+	if !strings.Contains(par.helper.metrics(), "relayRefusals.busy") {
+		t.Error("the helper had no bound")
+	}
+}
+
+// TestRelayedRequestEndsWithItsCaller guards against work that goes on at an upstream after the caller of a relayed request has
+// left.
+func TestRelayedRequestEndsWithItsCaller(t *testing.T) {
+	par := newRelayPair(t)
+	par.workTime = 5 * time.Second
+	wor := par.addWorker("work", nil)
+	par.paths.Cut(fpcut.Refused, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, par.server.URL+"/safe/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := par.server.Client().Do(req); err == nil {
+		t.Fatal("the request was answered")
+	}
+	if len(wor.Runs()) != 1 {
+		t.Fatalf("%d runs, want 1", len(wor.Runs()))
+	}
+	for end := time.Now().Add(500 * time.Millisecond); wor.Running() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the upstream works 0.5 s after the caller has left")
+		}
+	}
+}
+
+// TestCutVMSuspectsNoRequest guards against requests that are refused everywhere, because a VM without paths takes refused
+// connections for crashes of the upstreams at which the requests were in flight.
+func TestCutVMSuspectsNoRequest(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("crashed=%t", crashed), func(t *testing.T) {
+			par := newRelayPair(t)
+			wor := par.addWorker("work", nil)
+			if status := par.get(par.harness, "/safe/"); status != http.StatusOK {
+				t.Fatalf("status %d", status)
+			}
+			mem := par.forward.view.Load().active[incarnation{
+				id:   wor.Upstream().GetId(),
+				born: 1,
+			}]
+			mem.interrupted.add(time.Now(), "digest")
+			if crashed {
+				wor.Close()
+			} else {
+				par.paths.Cut(fpcut.Refused, nil)
+			}
+			par.forward.confirmCrash(mem, false)
+			if crashes, _ := par.forward.TakeCrashes(); len(crashes) > 0 != crashed {
+				t.Errorf("crashes: %v, want %t", crashes, crashed)
+			}
+		})
+	}
+}
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
@@ -46,11 +47,20 @@
 	}
 }
 
+// link is a connection for one attempt: to an upstream, or to a peer that relays the request.
+type link struct {
+	*fpconn.ExclusiveConn
+	// pool keeps the connection for later requests.
+	pool *fpconn.ExclusivePool
+	// peer is nil on a connection to an upstream.
+	peer *fprelay.Peer
+}
+
 // send sends the request on a connection and reads the answer. With an error, the reply is nil if no answer was received; it
 // is set for an answer that says that the request did not run.
-func (exc *exchange) send(ctx context.Context, mem *member, con *fpconn.ExclusiveConn) (*reply, error) {
+func (exc *exchange) send(ctx context.Context, mem *member, con link) (*reply, error) {
 	before := con.Received()
-	res, err := con.RoundTrip(exc.newUpstreamRequest(ctx, mem))
+	res, err := con.RoundTrip(exc.newUpstreamRequest(ctx, mem, con.peer))
 	if err != nil {
 		crashed := con.Crashed()
 		endless := con.Received()-before >= fpconn.MaxAnswerHeader
@@ -61,12 +71,19 @@
 		if endless {
 			return nil, fperror.Wrap(fperror.UpstreamLost, errAnswerTooLong, "read the header of an answer of upstream %s", mem.upstream.GetId())
 		}
+		if errors.Is(context.Cause(ctx), errPathLost) {
+			return nil, fperror.Wrap(fperror.UpstreamLost, errPathLost, "connection to upstream %s", mem.upstream.GetId())
+		}
 		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "upstream %s did not answer in time", mem.upstream.GetId())
 		}
 		return nil, fperror.Wrap(fperror.UpstreamLost, err, "upstream %s gave no answer, new connection: %t, ended there: %t",
 			mem.upstream.GetId(), !con.Used(), crashed)
 	}
+	if reason := res.Header.Get(relayRefusalHeader); con.peer != nil && reason != "" {
+		return nil, exc.readRelayRefusal(con, res, relayReason(reason))
+	}
+	res.Header.Del(relayRefusalHeader)
 	rep := &reply{
 		status: res.StatusCode,
 		header: res.Header,
@@ -80,6 +97,21 @@
 	return rep, exc.readAnswer(ctx, mem, con, res, rep)
 }
 
+// readRelayRefusal returns the error for a peer's own answer.
+func (exc *exchange) readRelayRefusal(con link, res *http.Response, reason relayReason) error {
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, smallAnswerSize)); err == nil && !res.Close {
+		_ = res.Body.Close() // the body has been read
+		con.pool.Put(con.ExclusiveConn, 0)
+	} else {
+		con.Close()
+	}
+	seconds, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	if err != nil {
+		seconds = 0
+	}
+	return newRelayError(con.peer, reason, time.Duration(seconds*float64(time.Second)))
+}
+
 // checkAnswer returns an error for an answer that the caller must not get: of kind UpstreamFenced or UpstreamShed if the
 // request did not run, and UpstreamLost if the answer cannot be from the upstream.
 func checkAnswer(mem *member, rep *reply) error {
