fpforward: judge lost paths by the usual connection times, and keep room on slow links for own callers

Cause: queues on slow links delay a connection by 30 to 130 ms on average, so that a fixed bound of 200 ms took full links for lost paths (145 to 247 relayed requests a second before the cut, in the logs of half of the VMs), and each relayed request passes two more links. Relays were spread unevenly, and every lost path was probed on its own.

Change: a path counts as lost when a connection takes longer than usual (RFC 6298) and no upstream is heard; otherwise only after a second. The check goes on, so that a wrong verdict ends by itself. All probes of a VM together are bounded, and the first success makes the other lost paths suspect, which the next request checks. A VM that relays measures the use of a slow link: small requests come first, bundles and relayed uploads only up to half of it, and uploads are paced lower. A long body is sent only once the peer accepts it. Peers that have lately relayed are preferred, if there are three.

--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -159,6 +159,7 @@
 		exc.body = nil
 		return bodyError(err)
 	}
+	exc.fwd.link.add(time.Now(), len(exc.body))
 	if int64(len(exc.body)) > size {
 		exc.rest = &bodyRemainder{
 			from: from,
--- a/internal/route/fpforward/bundle.go
+++ b/internal/route/fpforward/bundle.go
@@ -19,6 +19,8 @@
 	maxBundles = 256
 	// pacedFraction is the fraction of a slow link that bundles and uploads use together, in each direction.
 	pacedFraction = 0.7
+	// pacedHelpingFraction is that fraction while the VM relays requests of others, which leaves room for their small ones.
+	pacedHelpingFraction = 0.35
 	// pacedBurst is the number of paced bytes that pass at once. On a link of 5 Mbit/s they take about 26 ms, for which a
 	// small answer behind them waits.
 	pacedBurst = 16 << 10
@@ -84,6 +86,15 @@
 	}
 }
 
+// setFraction sets the fraction of a slow link that bundles and uploads use.
+func (pac pacers) setFraction(link, fraction float64) {
+	if !pac.enabled() {
+		return
+	}
+	pac.in.SetLimit(rate.Limit(fraction * link))
+	pac.out.SetLimit(rate.Limit(fraction * link))
+}
+
 // enabled reports whether the link is slow, so that bundles and uploads are paced.
 func (pac pacers) enabled() bool { return pac.in != nil }
 
--- a/internal/route/fpforward/crash.go
+++ b/internal/route/fpforward/crash.go
@@ -154,6 +154,7 @@
 	began := time.Now()
 	con, err := mem.connections.Open(ctx)
 	if err == nil {
+		fwd.paths.recordConnect(mem.distance, time.Since(began))
 		fwd.proveDirect(mem, time.Now())
 	}
 	if err == nil && keep {
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -150,6 +150,10 @@
 	}
 	ctx, cancel := context.WithDeadline(exc.request.Context(), exc.deadline)
 	defer cancel()
+	if !exc.linkHasRoom(time.Now()) {
+		exc.writeError(fperror.New(fperror.Overloaded, "the link has no room for a large request while it relays others"))
+		return
+	}
 	release, err := exc.readBody(ctx, exc.bodyLimit)
 	if err != nil {
 		exc.writeError(err)
@@ -320,6 +324,7 @@
 	mem.endRequest()
 	if rep != nil {
 		exc.fwd.proveDirect(mem, time.Now())
+		exc.countAnswer(rep)
 	}
 	exc.observeRate(mem, sentAt, rep, err)
 	took := tim.elapsed(time.Now())
@@ -359,7 +364,8 @@
 // nothing was sent.
 func (exc *exchange) connect(ctx context.Context, cho choice) (*fpconn.ExclusiveConn, error) {
 	mem := cho.member
-	if !exc.relayed || mem.heardWithin(time.Now(), relayFreshness) {
+	// If this VM hears from no upstream, it may have lost its paths without knowing it yet. A new connection shows that.
+	if silent := exc.fwd.paths.silent(time.Now(), silenceCheck); !exc.relayed || !silent {
 		if con := mem.connections.Get(time.Now()); con != nil {
 			return con, nil
 		}
@@ -369,10 +375,9 @@
 		return nil, fperror.New(fperror.Overloaded, "upstream %s resets new connections", mem.upstream.GetId())
 	}
 	began := time.Now()
-	if all, _ := exc.fwd.peers.Len(began); all > 0 || exc.relayed {
-		// A peer may have a path if this VM has none.
+	if exc.relayed || exc.fwd.paths.silent(began, silenceCheck) {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, checkTimeout)
+		ctx, cancel = context.WithTimeout(ctx, exc.fwd.paths.checkTimeout(mem.distance))
 		defer cancel()
 	}
 	con, err := exc.openConnection(ctx, cho)
@@ -387,8 +392,14 @@
 	if processEnded(err) {
 		go exc.fwd.confirmEnded(mem)
 	}
-	if exc.request.Context().Err() == nil && time.Now().Before(exc.deadline) {
+	switch {
+	case exc.request.Context().Err() != nil || !time.Now().Before(exc.deadline):
+	case processEnded(err) || exc.fwd.paths.silent(time.Now(), silenceCheck):
 		exc.fwd.losePath(mem, began, err)
+	default:
+		// A full link delays connections, too.
+		exc.tried[mem] = true
+		exc.fwd.startCheck(mem)
 	}
 	return nil, err
 }
@@ -426,6 +437,7 @@
 	if err != nil {
 		return nil, err
 	}
+	exc.fwd.paths.recordConnect(mem.distance, time.Since(began))
 	exc.fwd.proveDirect(mem, time.Now())
 	if !mem.mayReset(began, cho.state) {
 		return con, nil
@@ -493,6 +505,9 @@
 	out.Close = false
 	removeHopByHopHeaders(out.Header)
 	out.Header.Del(relayHeader)
+	if exc.relayed {
+		out.Header.Del("Expect") // of the other VM, which has been answered
+	}
 	if pee != nil {
 		out.Header.Set(relayHeader, relayOrder{
 			born:        mem.upstream.GetBorn(),
@@ -500,6 +515,10 @@
 			objective:   exc.route.GetObjective().AsDuration(),
 			lowPriority: exc.lowPriority,
 		}.encode())
+		if len(exc.body) >= longBody || exc.rest != nil {
+			// A peer without room refuses the request before the body is sent.
+			out.Header.Set("Expect", "100-continue")
+		}
 	}
 	platform.EncodeAttempt(out.Header, mem.upstream.GetId(), time.Until(exc.deadline))
 	if _, ok := out.Header["User-Agent"]; !ok {
@@ -511,41 +530,33 @@
 }
 
 // probe opens connections to an upstream that could not be reached, until one succeeds or the upstream is not in use any
-// more. It waits for the end of the hold-down before each one, or until the path to another upstream is well again.
+// more. It waits for the end of the hold-down before each one. If the path was lost, it also ends when that to another upstream is
+// well again.
 func (fwd *Forwarder) probe(mem *member) {
-	for {
-		fwd.awaitProbe(mem)
-		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-		con, err := mem.connections.Open(ctx)
-		cancel()
-		if err == nil {
-			mem.connections.Put(con, 0)
-		} else if processEnded(err) {
-			fwd.confirmEnded(mem)
-		}
-		lost := mem.isPathLost()
-		if !mem.recordProbe(time.Now(), err == nil) || !fwd.knows(mem) {
-			if err == nil && lost {
-				fwd.paths.provenAt.Store(time.Now().UnixNano())
-				fwd.paths.restore()
+	for fwd.knows(mem) {
+		restored := fwd.paths.awaitRestored()
+		timer := time.NewTimer(mem.holdDownRemaining(time.Now()))
+		select {
+		case <-timer.C:
+		case <-restored:
+			timer.Stop()
+			if mem.isPathLost() {
+				mem.doubtPath()
+				return
 			}
+			continue
+		}
+		if delay := fwd.probeLimiter.Reserve().Delay(); delay > 0 {
+			time.Sleep(delay)
+		}
+		chk := fwd.startCheck(mem)
+		<-chk.done
+		if chk.err == nil {
 			return
 		}
 	}
 }
 
-// awaitProbe waits until an upstream is to be probed.
-func (fwd *Forwarder) awaitProbe(mem *member) {
-	restored := fwd.paths.awaitRestored()
-	timer := time.NewTimer(mem.holdDownRemaining(time.Now()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-restored:
-		time.Sleep(time.Duration(fwd.random() * float64(minProbePause)))
-	}
-}
-
 // knows reports whether the member is in use.
 func (fwd *Forwarder) knows(mem *member) bool {
 	return fwd.view.Load().active[incarnation{
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -19,6 +19,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fproute"
@@ -77,7 +78,11 @@
 	peers     *fprelay.Peers
 	peerPools peerPools
 	relayRoom relayRoom
-	stopping  atomic.Bool
+	// link measures the use of this VM's network link.
+	link linkMeter
+	// probeLimiter bounds the probes of lost paths.
+	probeLimiter *rate.Limiter
+	stopping     atomic.Bool
 	// entries is the number of entry VMs that share the budget for retries.
 	entries atomic.Uint32
 
@@ -141,6 +146,8 @@
 				zap.Bool("limited", sta.Limited), zap.Float64("perSecond", sta.PerSecond))
 		},
 	})
+	fwd.link.rate = slowRate(cfg.LinkRate)
+	fwd.probeLimiter = rate.NewLimiter(probesPerSecond, probeBurst)
 	fwd.peers = fprelay.NewPeers(&fpstate.EntryVM{
 		Vm:         cfg.VM,
 		DataCentre: cfg.DataCentre,
@@ -307,6 +314,9 @@
 		mem.connections.CloseExpired(now)
 	}
 	fwd.peerPools.closeExpired(now)
+	if !fwd.relayRoom.helping(now) {
+		fwd.pacers.setFraction(fwd.cfg.LinkRate, pacedFraction)
+	}
 }
 
 // random returns a random number in [0, 1).
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -111,9 +111,11 @@
 	probing       bool
 	// pathLost states that this VM could not open its last connection to the upstream. provenAt is when it last heard the
 	// upstream on its own path, and check the check of the path that is running, or nil.
-	pathLost bool
-	provenAt time.Time
-	check    *pathCheck
+	// pathDoubted states that the path was lost, and that to another upstream is well again.
+	pathLost    bool
+	pathDoubted bool
+	provenAt    time.Time
+	check       *pathCheck
 	// relayed is the number of requests in flight that this VM has sent for other VMs. inFlight includes them.
 	relayed int
 	// relayMisses counts the peers in a row that could not reach the upstream either, and relayHeldUntil is until when none is
@@ -380,13 +382,6 @@
 	mem.meanOtherLoad += reportWeight * (mem.otherLoad - mem.meanOtherLoad)
 }
 
-// heardWithin reports whether this VM has heard the upstream on its own path within a time.
-func (mem *member) heardWithin(now time.Time, length time.Duration) bool {
-	mem.mutex.Lock()
-	defer mem.mutex.Unlock()
-	return now.Sub(mem.provenAt) <= length
-}
-
 // isPathLost reports whether this VM could not open its last connection to the upstream.
 func (mem *member) isPathLost() bool {
 	mem.mutex.Lock()
@@ -424,21 +419,14 @@
 	mem.failureRate += failureWeight * (1 - mem.failureRate)
 }
 
-// recordProbe records whether a probe has reached the upstream, and reports whether to probe again. It ends the hold-down
-// or extends it.
-func (mem *member) recordProbe(now time.Time, reached bool) (again bool) {
+// recordReached records that a connection to the upstream could be opened. It ends the hold-down, and its probe after one more
+// success.
+func (mem *member) recordReached(now time.Time) {
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
-	if reached {
-		mem.holdDownUntil = time.Time{}
-		mem.pathLost = false
-		mem.provenAt = now
-		mem.probing = false
-		return false
-	}
-	mem.holdDown = min(maxHoldDown, 2*mem.holdDown)
-	mem.holdDownUntil = now.Add(mem.holdDown)
-	return true
+	mem.holdDownUntil = time.Time{}
+	mem.pathLost, mem.pathDoubted, mem.probing = false, false, false
+	mem.provenAt = now
 }
 
 // holdDownRemaining returns the time until the end of the hold-down; 0 or less means that it has ended.
--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -14,15 +14,25 @@
 	// silenceCheck is how long a request waits for an answer until its path is checked, if this VM hears from no upstream at all.
 	// With other answers arriving, a late one is more likely slow, and partialCheck applies.
 	silenceCheck = 150 * time.Millisecond
-	partialCheck = 500 * time.Millisecond
+	partialCheck = 600 * time.Millisecond
 	// watchInterval is the time between two looks at a request that has waited for silenceCheck.
 	watchInterval = 50 * time.Millisecond
-	// checkTimeout bounds the opening of a connection by which a path is checked.
-	checkTimeout = 200 * time.Millisecond
+	// minCheckTimeout is the least time after which a path counts as lost on which a connection is being opened, if no upstream is
+	// heard. The time follows that which connections have taken, because a full link delays them. maxCheckTimeout bounds it, and
+	// applies if other upstreams are heard. The opening goes on until then, so that a wrong verdict ends by itself.
+	minCheckTimeout = 200 * time.Millisecond
+	maxCheckTimeout = time.Second
 	// suspicionWindow is the time within which the losses of two paths make all others suspect, and how long they stay so.
 	suspicionWindow = time.Second
-	// minProbePause is the least time between two probes of an upstream when the path to another one has become well.
-	minProbePause = 100 * time.Millisecond
+	// probesPerSecond and probeBurst bound the probes of all lost paths of a VM together.
+	probesPerSecond = 16
+	probeBurst      = 8
+	// connectTimeWeight and connectDeviationWeight are the weights of one connection in the moving mean of the times that
+	// connections take, and in that of their deviation from it. connectDeviations is the number of deviations beyond the mean after
+	// which a connection counts as late. Source: RFC 6298.
+	connectTimeWeight      = 0.125
+	connectDeviationWeight = 0.25
+	connectDeviations      = 4
 )
 
 // errPathLost ends the attempt of an idempotent request whose connection hangs.
@@ -47,8 +57,10 @@
 	// suspicion is the current one, or nil.
 	suspicion atomic.Pointer[suspicion]
 
-	mutex  sync.Mutex
-	losses []lostPath
+	mutex sync.Mutex
+	// connectTimes are the times that connections to upstreams at each distance take.
+	connectTimes [otherRegion + 1]connectTime
+	losses       []lostPath
 	// restored is closed and replaced when a lost path is well again.
 	restored chan struct{}
 }
@@ -65,6 +77,34 @@
 	at     time.Time
 }
 
+// connectTime is the moving mean of the times that connections take, and of their deviation from it.
+type connectTime struct {
+	mean, deviation time.Duration
+}
+
+// recordConnect records how long it took to open a connection to an upstream at a distance.
+func (trk *pathTracker) recordConnect(dis distance, took time.Duration) {
+	trk.mutex.Lock()
+	defer trk.mutex.Unlock()
+	cot := &trk.connectTimes[dis]
+	off := took - cot.mean
+	cot.mean += time.Duration(connectTimeWeight * float64(off))
+	cot.deviation += time.Duration(connectDeviationWeight * float64(max(off, -off)-cot.deviation))
+}
+
+// checkTimeout returns the time after which a connection to an upstream at a distance counts as late.
+func (trk *pathTracker) checkTimeout(dis distance) time.Duration {
+	trk.mutex.Lock()
+	defer trk.mutex.Unlock()
+	cot := trk.connectTimes[dis]
+	return min(maxCheckTimeout, max(minCheckTimeout, cot.mean+connectDeviations*cot.deviation))
+}
+
+// silent reports whether no upstream at all has been heard for a time.
+func (trk *pathTracker) silent(now time.Time, length time.Duration) bool {
+	return now.Sub(time.Unix(0, trk.provenAt.Load())) >= length
+}
+
 // recordLoss records the loss of a path that was well before.
 func (trk *pathTracker) recordLoss(mem *member, began, now time.Time) {
 	trk.mutex.Lock()
@@ -128,17 +168,18 @@
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
 	mem.provenAt = now
+	mem.pathDoubted = false
 }
 
 // pathOf returns the state of this VM's own path to an upstream.
 func (fwd *Forwarder) pathOf(mem *member, now time.Time) pathStatus {
 	mem.mutex.Lock()
-	lost, provenAt := mem.pathLost, mem.provenAt
+	lost, doubted, provenAt := mem.pathLost, mem.pathDoubted, mem.provenAt
 	mem.mutex.Unlock()
 	switch {
 	case lost:
 		return pathLost
-	case fwd.paths.suspects(now, provenAt):
+	case doubted || fwd.paths.suspects(now, provenAt):
 		return pathSuspect
 	default:
 		return pathWell
@@ -165,7 +206,9 @@
 	first, probe := mem.losePath(now)
 	if first {
 		fwd.counters.add("pathsLost")
-		fwd.paths.recordLoss(mem, began, now)
+		if processEnded(err) || fwd.paths.silent(now, silenceCheck) {
+			fwd.paths.recordLoss(mem, began, now)
+		}
 		fwd.cfg.Log.Debug("path to an upstream lost", zap.String("upstream", mem.upstream.GetId()), zap.Error(err))
 	}
 	if probe {
@@ -178,65 +221,93 @@
 func (mem *member) losePath(now time.Time) (first, probe bool) {
 	mem.mutex.Lock()
 	first = !mem.pathLost
-	mem.pathLost = true
+	mem.pathLost, mem.pathDoubted = true, false
 	mem.mutex.Unlock()
 	return first, mem.holdDownUnreachable(now)
 }
 
+// doubtPath makes a lost path suspect, because that to another upstream is well again. The next request checks it.
+func (mem *member) doubtPath() {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.pathLost, mem.pathDoubted, mem.probing = false, true, false
+	mem.holdDownUntil = time.Time{}
+}
+
 // pathCheck is a check of a path that several requests may wait for.
 type pathCheck struct {
-	done chan struct{}
+	began time.Time
+	done  chan struct{}
 	// err is the error of the check, valid when done is closed.
 	err error
 }
 
-// checkPath opens a connection to an upstream, unless that is being done already, and returns the error. It returns nil if the
-// path is well.
-func (fwd *Forwarder) checkPath(mem *member) error {
+// startCheck opens a connection to an upstream, unless that is being done already. The result is also in the state of the upstream.
+func (fwd *Forwarder) startCheck(mem *member) *pathCheck {
 	mem.mutex.Lock()
-	chk := mem.check
-	if chk != nil {
-		mem.mutex.Unlock()
-		<-chk.done
-		return chk.err
+	defer mem.mutex.Unlock()
+	if mem.check != nil {
+		return mem.check
 	}
-	chk = &pathCheck{
-		done: make(chan struct{}),
+	chk := &pathCheck{
+		began: time.Now(),
+		done:  make(chan struct{}),
 	}
 	mem.check = chk
-	mem.mutex.Unlock()
-	chk.err = fwd.openForCheck(mem)
+	go fwd.runCheck(mem, chk)
+	return chk
+}
+
+// runCheck opens a connection to an upstream, keeps it for later requests, and records whether that was possible.
+func (fwd *Forwarder) runCheck(mem *member, chk *pathCheck) {
+	fwd.counters.add("pathChecks")
+	ctx, cancel := context.WithTimeout(context.Background(), maxCheckTimeout)
+	defer cancel()
+	con, err := mem.connections.Open(ctx)
+	now := time.Now()
 	mem.mutex.Lock()
 	mem.check = nil
 	mem.mutex.Unlock()
+	if chk.err = err; err != nil {
+		fwd.losePath(mem, chk.began, err)
+		if processEnded(err) {
+			fwd.confirmEnded(mem)
+		}
+	} else {
+		fwd.paths.recordConnect(mem.distance, now.Sub(chk.began))
+		fwd.restorePath(mem, now)
+		mem.connections.Put(con, 0)
+	}
 	close(chk.done)
-	return chk.err
 }
 
-// startCheck checks a path on another goroutine, unless that is being done already. The result is in the state of the upstream.
-func (fwd *Forwarder) startCheck(mem *member) {
-	mem.mutex.Lock()
-	running := mem.check != nil
-	mem.mutex.Unlock()
-	if !running {
-		go func() { _ = fwd.checkPath(mem) }()
+// restorePath records that a path is well. If it was lost, others are checked by the next requests that use them.
+func (fwd *Forwarder) restorePath(mem *member, now time.Time) {
+	lost := mem.isPathLost()
+	mem.recordReached(now)
+	fwd.proveDirect(mem, now)
+	if lost {
+		fwd.paths.restore()
 	}
 }
 
-// openForCheck opens a connection to an upstream and keeps it for later requests. It records whether that was possible.
-func (fwd *Forwarder) openForCheck(mem *member) error {
-	fwd.counters.add("pathChecks")
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	con, err := mem.connections.Open(ctx)
-	if err != nil {
-		fwd.losePath(mem, began, err)
-		return err
+// checkPath checks a path and returns the error, or nil if it is well. If no upstream is heard, it counts as lost once a
+// connection takes longer than usual.
+func (fwd *Forwarder) checkPath(mem *member) error {
+	chk := fwd.startCheck(mem)
+	timer := time.NewTimer(time.Until(chk.began.Add(fwd.paths.checkTimeout(mem.distance))))
+	defer timer.Stop()
+	select {
+	case <-chk.done:
+		return chk.err
+	case <-timer.C:
 	}
-	fwd.proveDirect(mem, time.Now())
-	mem.connections.Put(con, 0)
-	return nil
+	if fwd.paths.silent(time.Now(), silenceCheck) {
+		fwd.losePath(mem, chk.began, errPathLost)
+		return errPathLost
+	}
+	<-chk.done
+	return chk.err
 }
 
 // watchPath returns a context for an attempt and watches its path until the returned function is called. If the connection
@@ -252,7 +323,7 @@
 		lost := false
 		if received() == before && exc.fwd.pathSilent(mem, began) {
 			err := exc.fwd.checkPath(mem)
-			lost = err != nil && !processEnded(err)
+			lost = err != nil && !processEnded(err) && received() == before
 		}
 		mutex.Lock()
 		defer mutex.Unlock()
@@ -286,6 +357,5 @@
 		heard = sentAt
 	}
 	silence := now.Sub(heard)
-	allSilent := now.Sub(time.Unix(0, fwd.paths.provenAt.Load())) >= silenceCheck
-	return silence >= partialCheck || allSilent && silence >= silenceCheck
+	return silence >= partialCheck || silence >= silenceCheck && fwd.paths.silent(now, silenceCheck)
 }
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -29,10 +29,12 @@
 const (
 	// maxRelayFailures bounds the peers that do not relay a request.
 	maxRelayFailures = 3
-	// peerConnectTimeout bounds the opening of a connection to a peer. The longest round trip takes 60 ms.
-	peerConnectTimeout = 200 * time.Millisecond
+	// peerConnectTimeout bounds the opening of a connection to a peer.
+	peerConnectTimeout = connectTimeout
 	// maxIdlePeerConnections bounds the idle connections to one peer.
 	maxIdlePeerConnections = 32
+	// expectContinueTimeout is how long the body of a long request waits until the peer accepts it.
+	expectContinueTimeout = 400 * time.Millisecond
 	// maxRelayMisses is the number of peers that must not reach an upstream until none is asked for a while.
 	maxRelayMisses = 2
 	// minRelayHold and maxRelayHold bound that time, which doubles each time.
@@ -155,6 +157,7 @@
 			Address:        pee.Address(),
 			ConnectTimeout: peerConnectTimeout,
 			MaxIdle:        maxIdlePeerConnections,
+			ExpectContinue: expectContinueTimeout,
 		})
 		pep.pools[pee] = pol
 	}
@@ -261,6 +264,7 @@
 	}
 	exc.tried[mem] = true
 	if rep != nil {
+		exc.countAnswer(rep)
 		exc.fwd.counters.add("relayed")
 		exc.fwd.peers.Succeed(pee, time.Now())
 		mem.recordRelay(time.Now(), true)
@@ -316,7 +320,7 @@
 	if err != nil {
 		return "", fperror.Wrap(fperror.Internal, err, "create a call to a peer")
 	}
-	platform.EncodeAttempt(req.Header, mem.upstream.GetId(), checkTimeout)
+	platform.EncodeAttempt(req.Header, mem.upstream.GetId(), maxCheckTimeout)
 	req.Header.Set(relayHeader, relayOrder{
 		born:  mem.upstream.GetBorn(),
 		check: true,
@@ -343,7 +347,7 @@
 		return
 	}
 	asked := map[*fprelay.Peer]bool{}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*checkTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*maxCheckTimeout)
 	defer cancel()
 	for range maxRelayFailures {
 		pee := fwd.peers.Choose(time.Now(), func(pee *fprelay.Peer) bool { return asked[pee] })
--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -21,9 +21,6 @@
 	relayedFactor      = 4
 	// ownLoadWeight is the weight of one request in the moving mean of the requests in flight.
 	ownLoadWeight = 0.02
-	// relayFreshness is how recently an upstream must have been heard so that a relayed request uses an idle connection. The
-	// opening of a new one shows whether the path is well.
-	relayFreshness = 250 * time.Millisecond
 )
 
 // relayRoom bounds the requests that this VM relays for others, so that its own callers are served. The zero value is ready for
@@ -31,6 +28,7 @@
 type relayRoom struct {
 	mutex    sync.Mutex
 	inFlight int
+	lastAt   time.Time // when the last request was taken
 	// ownLoad is the moving mean of the requests of this VM's own callers in flight.
 	ownLoad float64
 }
@@ -50,9 +48,17 @@
 		return false
 	}
 	rer.inFlight++
+	rer.lastAt = time.Now()
 	return true
 }
 
+// helping reports whether this VM has lately relayed a request.
+func (rer *relayRoom) helping(now time.Time) bool {
+	rer.mutex.Lock()
+	defer rer.mutex.Unlock()
+	return rer.inFlight > 0 || now.Sub(rer.lastAt) < helpingFor
+}
+
 // release releases the room of one request.
 func (rer *relayRoom) release() {
 	rer.mutex.Lock()
@@ -91,6 +97,7 @@
 		exc.refuseRelay(relayBusy, 0, nil)
 	default:
 		defer fwd.relayRoom.release()
+		fwd.pacers.setFraction(fwd.cfg.LinkRate, pacedHelpingFraction)
 		exc.serveRelayed(mem)
 	}
 }
@@ -158,6 +165,10 @@
 	}
 	ctx, cancel := context.WithDeadline(exc.request.Context(), exc.deadline)
 	defer cancel()
+	if !exc.linkHasRoom(now) {
+		exc.refuseRelay(relayBusy, 0, nil)
+		return
+	}
 	release, err := exc.readRelayedBody(ctx)
 	if err != nil {
 		exc.refuseRelay(relayBusy, 0, err)
@@ -198,6 +209,8 @@
 		exc.refuseRelay(relayLost, 0, err)
 	case fperror.Is(err, fperror.Overloaded):
 		exc.refuseRelay(relayRefused, exc.rateWait, err)
+	case !processEnded(err) && !exc.fwd.paths.silent(time.Now(), silenceCheck):
+		exc.refuseRelay(relayBusy, 0, err) // the own link may be full
 	default:
 		exc.refuseRelay(exc.noPathReason(err), 0, err)
 	}
--- a/internal/route/fprelay/fprelay_test.go
+++ b/internal/route/fprelay/fprelay_test.go
@@ -112,7 +112,7 @@
 				t.Fatalf("a peer is chosen right after failure %d", fai)
 			}
 		}
-		now = now.Add(maxHoldDown)
+		now = now.Add(maxStrandedHoldDown)
 	}
 	for range maxUnproven {
 		prs.Begin(near, now)
--- a/internal/route/fprelay/peers.go
+++ b/internal/route/fprelay/peers.go
@@ -34,6 +34,9 @@
 	// time doubles with each failure in a row.
 	minHoldDown = 200 * time.Millisecond
 	maxHoldDown = 2 * time.Second
+	// minStrandedHoldDown and maxStrandedHoldDown are the same for a peer that has lost its own paths, which may take longer.
+	minStrandedHoldDown = time.Second
+	maxStrandedHoldDown = 4 * time.Second
 	// busyHoldDown is how long a peer without room is not asked.
 	busyHoldDown = 100 * time.Millisecond
 	// provenFor is how long after its last success a peer counts as proven. Others get few requests at a time.
@@ -41,6 +44,8 @@
 	// silentAfter is how long a peer with requests in flight may give no answer until it no longer counts as proven. A frozen VM
 	// gives none.
 	silentAfter = 500 * time.Millisecond
+	// enoughProven is the number of proven peers from which on others are not tried. On a full link each refusal costs time.
+	enoughProven = 3
 	// maxUnproven is the number of requests in flight at a peer that is not proven, unless no other peer is left.
 	maxUnproven = 2
 )
@@ -148,13 +153,16 @@
 	return len(prs.all), usable
 }
 
-// Choose returns the peer to ask, or nil: a near one before a far one, and of two random ones that which has lately relayed a
-// request, or has fewer requests of this VM in flight. excluded peers are not returned.
+// Choose returns the peer to ask, or nil: a near one before a far one, and of two random ones that with fewer requests of this VM
+// in flight. excluded peers are not returned.
 func (prs *Peers) Choose(now time.Time, excluded func(*Peer) bool) *Peer {
 	prs.mutex.Lock()
 	defer prs.mutex.Unlock()
 	usable := func(pee *Peer) bool { return !now.Before(pee.heldUntil) && !excluded(pee) }
-	nearest := prs.nearest(func(pee *Peer) bool { return usable(pee) && (pee.proven(now) || pee.inFlight < maxUnproven) })
+	nearest := prs.nearest(func(pee *Peer) bool { return usable(pee) && pee.proven(now) })
+	if len(nearest) < enoughProven {
+		nearest = prs.nearest(func(pee *Peer) bool { return usable(pee) && (pee.proven(now) || pee.inFlight < maxUnproven) })
+	}
 	if len(nearest) == 0 {
 		nearest = prs.nearest(func(pee *Peer) bool { return usable(pee) && !pee.silent(now) })
 	}
@@ -162,12 +170,6 @@
 		return nil
 	}
 	one, other := nearest[rand.IntN(len(nearest))], nearest[rand.IntN(len(nearest))]
-	if one.proven(now) != other.proven(now) {
-		if one.proven(now) {
-			return one
-		}
-		return other
-	}
 	if other.inFlight < one.inFlight {
 		return other
 	}
@@ -234,7 +236,11 @@
 	if now.Before(pee.heldUntil) {
 		return // requests that were in flight together fail together
 	}
-	pee.holdDown = min(maxHoldDown, max(minHoldDown, 2*pee.holdDown))
+	shortest, longest := minHoldDown, maxHoldDown
+	if fai == Stranded {
+		shortest, longest = minStrandedHoldDown, maxStrandedHoldDown
+	}
+	pee.holdDown = min(longest, max(shortest, 2*pee.holdDown))
 	pee.heldUntil = now.Add(pee.holdDown)
 	pee.provenAt = time.Time{}
 }
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -34,6 +34,8 @@
 	ReadBuffer int
 	// MaxIdle is the maximum number of idle connections that are kept for reuse. 0: none are kept.
 	MaxIdle int
+	// ExpectContinue is how long the body of a request with the header Expect waits for the permission to be sent. 0: not at all.
+	ExpectContinue time.Duration
 	// Dial opens connections. Nil: Dial of this package. Tests replace it to simulate lost paths.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -122,7 +124,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exc.cfg.ConnectTimeout)
 	defer cancel()
 	var soc atomic.Pointer[socket]
-	cli, err := newTransport(&Config{}, dialInto(&soc, exc.cfg.Dial), true).NewClientConn(ctx, "http", exc.cfg.Address)
+	tra := newTransport(&Config{}, dialInto(&soc, exc.cfg.Dial), true)
+	tra.ExpectContinueTimeout = exc.cfg.ExpectContinue
+	cli, err := tra.NewClientConn(ctx, "http", exc.cfg.Address)
 	if err != nil {
 		return nil, fperror.Wrap(fperror.ConnectFailed, err, "connect to %s", exc.cfg.Upstream)
 	}
