--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -90,9 +90,13 @@
 	// rate is the text of the request rate that the worker names in its answers, if namesRate is set.
 	rate      string
 	namesRate bool
-	holdings  []holding
-	sequence  uint64
-	server    *http.Server
+	// rests are the times for which the worker wants no requests, in all answers, which are then refusals. leaving are the texts by
+	// which all answers say that it leaves.
+	rests    []string
+	leaving  []string
+	holdings []holding
+	sequence uint64
+	server   *http.Server
 }
 
 // holding is a range of keys that the worker holds until a time.
@@ -175,6 +179,27 @@
 	wor.namesRate = false
 }
 
+// Rest makes the worker refuse all later requests, and name times for which it wants none. Without times, it ends that.
+func (wor *Worker) Rest(texts ...string) {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	wor.rests = texts
+}
+
+// SayLeaving makes the worker say in all later answers that it leaves, with the given texts.
+func (wor *Worker) SayLeaving(texts ...string) {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	wor.leaving = texts
+}
+
+// resting reports whether the worker refuses all requests.
+func (wor *Worker) resting() bool {
+	wor.mutex.Lock()
+	defer wor.mutex.Unlock()
+	return len(wor.rests) > 0
+}
+
 // ServeHTTP implements http.Handler. It handles orders of control VMs and requests.
 func (wor *Worker) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
 	if ord, ok := platform.DecodeOrder(req); ok {
@@ -196,7 +221,7 @@
 	if wor.cfg.Fault != nil {
 		fault = wor.cfg.Fault(info.Attempt)
 	}
-	if fault == Shed || !wor.acquirePermit(req.Context()) {
+	if wor.resting() || fault == Shed || !wor.acquirePermit(req.Context()) {
 		wor.refuse(wri, info, http.StatusServiceUnavailable)
 		return
 	}
@@ -346,6 +371,7 @@
 		HasLoad: true,
 		Rate:    wor.rate,
 		HasRate: wor.namesRate,
+		Leaving: wor.leaving,
 	}
 }
 
@@ -353,6 +379,11 @@
 func (wor *Worker) refuse(wri http.ResponseWriter, info platform.Request, status int) {
 	ans := wor.answer(info)
 	ans.NotRun = true
+	if status == http.StatusServiceUnavailable {
+		wor.mutex.Lock()
+		ans.Rests = wor.rests
+		wor.mutex.Unlock()
+	}
 	platform.EncodeAnswer(wri.Header(), ans)
 	wri.WriteHeader(status)
 }
--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -32,7 +32,9 @@
 	entries []string       // addresses for callers
 	paths   []*fpcut.Paths // paths of the entry VMs to upstreams
 	client  *http.Client
-	last    atomic.Int64 // number of the last attempt
+	// controls are the ways of the entry VMs to control VMs.
+	controls []*controlPath
+	last     atomic.Int64 // number of the last attempt
 }
 
 // startDeployment starts a control VM and entry VMs with a route to the service s, at the path /.
@@ -71,6 +73,11 @@
 		pat := &fpcut.Paths{}
 		dep.paths = append(dep.paths, pat)
 		gat := newGate(set, zap.NewNop(), pat.Dial)
+		cop := &controlPath{
+			RoundTripper: gat.watcher.client.Transport,
+		}
+		gat.watcher.client.Transport = cop
+		dep.controls = append(dep.controls, cop)
 		dep.gates = append(dep.gates, gat)
 		dep.entries = append(dep.entries, address)
 		ended = append(ended, gat.Run(ctx))
@@ -95,6 +102,20 @@
 	return dep
 }
 
+// controlPath is the way of an entry VM to the control VMs. It can be cut.
+type controlPath struct {
+	http.RoundTripper
+	cut atomic.Bool
+}
+
+// RoundTrip sends a call unless the way is cut.
+func (cop *controlPath) RoundTrip(req *http.Request) (*http.Response, error) {
+	if cop.cut.Load() {
+		return nil, net.ErrClosed
+	}
+	return cop.RoundTripper.RoundTrip(req)
+}
+
 // lastPort is the last port that freeAddress has returned.
 var lastPort atomic.Int32
 
