fpforward: leave an upstream alone while it asks this VM for rest

Cause: no VM read Retry-After of an upstream of HTTP routes (hypothesis 1). Hypothesis 2 fell in part: requests without keys went to other upstreams, because the refusals counted as failures, and not because of the header.

Change: a 503 with a valid Retry-After begins a rest of this incarnation, of at most 30 s, for this VM. Until its end, plus up to a tenth that varies at random, nothing is sent there: first tries, retries, explorations, requests of other VMs. Requests without a key go to others; those with a key are refused at once with the time that is left. A VM that relays tells the other one of the rest, which then keeps it, too, and asks no other peer. After the end one request at a time is sent until one is answered. A refusal with a rest doesn't count as a failure. Values without meaning are counted as restInvalid and change nothing.

Measured: TestRestingUpstreamGetsNoRequests and TestRefusalNamesRestOfOwner failed before and pass.

--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -145,6 +145,9 @@
 
 		waitForRate: true,
 	}
+	if cho.state.rest > 0 {
+		return cho, exc.restError(mem, cho.state.rest)
+	}
 	if !cho.state.usable || !exc.findWay(&cho, now, func() *fprelay.Peer { return exc.choosePeer(now) }) {
 		return cho, fperror.New(fperror.NoUpstream, "upstream %s, which owns key %d, is held down after a failure", mem.upstream.GetId(), exc.info.Key)
 	}
@@ -184,11 +187,26 @@
 		}
 	}
 	if best.member == nil {
+		if mem, rest := shortestRest(vie.services[exc.service], now); mem != nil {
+			return best, exc.restError(mem, rest)
+		}
 		return best, fperror.New(fperror.NoUpstream, "none of %d upstreams of service %s can be used", len(vie.services[exc.service]), exc.service)
 	}
 	return best, exc.admit(now, best.state)
 }
 
+// shortestRest returns the upstream whose rest ends first and the time until then, or nil if none rests.
+func shortestRest(members []*member, now time.Time) (*member, time.Duration) {
+	var first *member
+	var shortest time.Duration
+	for _, mem := range members {
+		if rest := mem.state(now).rest; rest > 0 && (first == nil || rest < shortest) {
+			first, shortest = mem, rest
+		}
+	}
+	return first, shortest
+}
+
 // cheapest returns the choice with the lowest cost, or none.
 func (exc *exchange) cheapest(all []choice) choice {
 	var best choice
@@ -220,7 +238,7 @@
 			mean += sta.mean
 			load += sta.load
 		}
-		if !sta.usable || sta.atConnectionLimit(accepted, entries) {
+		if !sta.usable || sta.rest > 0 || sta.atConnectionLimit(accepted, entries) {
 			continue
 		}
 		cho := choice{
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -276,7 +276,7 @@
 func (exc *exchange) mayRetry(err error) bool {
 	var rel *relayError
 	if errors.As(err, &rel) && !rel.reason.sent() {
-		return rel.reason != relayRefused || !exc.keyed
+		return rel.reason != relayRefused && rel.reason != relayResting || !exc.keyed
 	}
 	if fperror.Is(err, fperror.Overloaded) && exc.keyed {
 		// Only the owner can run the request, and it accepts no new connection.
@@ -305,6 +305,11 @@
 		exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
 		return nil, err
 	}
+	if err := exc.checkRest(mem); err != nil {
+		exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
+		mem.connections.Put(con, 0)
+		return nil, err
+	}
 	if !con.Used() {
 		exc.fwd.counters.add("connections")
 	}
@@ -349,6 +354,7 @@
 		return nil, err
 	}
 	exc.clearSuspect()
+	exc.observeRest(mem, rep)
 	mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
 	if exc.keyed {
 		exc.fwd.load.addAnswer(exc.service, mem.upstream.GetId(), mem.state(time.Now()).mean)
@@ -469,8 +475,9 @@
 	switch fperror.KindOf(err) {
 	case fperror.UpstreamShed:
 		exc.runs--
-		mem.recordAnswer(now, rep.answer, took, true)
-		if cho.keyRange == nil {
+		resting := exc.observeRest(mem, rep)
+		mem.recordAnswer(now, rep.answer, took, !resting)
+		if cho.keyRange == nil && !resting {
 			mem.recordShed(now)
 		}
 		exc.ownerFull = cho.keyRange != nil && rep.answer.HasLoad && rep.answer.Load.Waiting >= rep.answer.Load.Slots
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -123,7 +123,10 @@
 	relayMisses    int
 	relayHeldUntil time.Time
 	relayHold      time.Duration
-	failureRate    float64 // moving mean, from 0 to 1
+	// restUntil is until when the upstream wants no requests from this VM. restTrial states that it has not answered since.
+	restUntil   time.Time
+	restTrial   bool
+	failureRate float64 // moving mean, from 0 to 1
 	// connectPauseUntil is until when no new connections are opened, and connectPause the length of the last pause.
 	connectPauseUntil time.Time
 	connectPause      time.Duration
@@ -183,6 +186,8 @@
 	usable bool
 	// path is the state of this VM's own path to the upstream. usable does not depend on it.
 	path pathStatus
+	// rest is the time until the upstream may get the next request because it has asked for rest, or 0.
+	rest time.Duration
 	// inFlight is the number of requests of this VM's callers in flight, and relayed that of other VMs'.
 	inFlight int
 	relayed  int
@@ -218,6 +223,7 @@
 		usable:      mem.pathLost || !now.Before(mem.holdDownUntil),
 		inFlight:    mem.inFlight - mem.relayed,
 		relayed:     mem.relayed,
+		rest:        mem.restRemaining(now),
 		load:        float64(mem.inFlight) + other,
 		loadAge:     age,
 		mean:        mem.mean + time.Duration(float64(mem.excess)*decay(now.Sub(mem.overdueAt), silenceHalfLife)),
@@ -345,6 +351,7 @@
 	if ans.NotRun || failed {
 		return
 	}
+	mem.restTrial = false
 	// Exclude the time in the upstream's queue, as estimated from the reported load.
 	if ans.HasLoad && ans.Load.Waiting > 0 && ans.Load.Slots > 0 {
 		took = time.Duration(float64(took) / (1 + float64(ans.Load.Waiting)/float64(ans.Load.Slots)))
@@ -433,5 +440,5 @@
 func (mem *member) holdDownRemaining(now time.Time) time.Duration {
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
-	return mem.holdDownUntil.Sub(now)
+	return max(mem.holdDownUntil.Sub(now), mem.restUntil.Sub(now))
 }
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -56,6 +56,8 @@
 	relayBusy relayReason = "busy"
 	// relayRefused means that the peer itself must not send to the upstream now. Nothing was sent.
 	relayRefused relayReason = "refused"
+	// relayResting means that the upstream has asked the peer for rest. Nothing was sent, and no other peer is asked.
+	relayResting relayReason = "resting"
 	// relayUnknown means that the peer does not know the upstream, or that it leaves. Nothing was sent.
 	relayUnknown relayReason = "unknown"
 	// relayLost means that the request was sent and got no whole answer.
@@ -81,7 +83,7 @@
 func newRelayError(pee *fprelay.Peer, reason relayReason, after time.Duration) error {
 	kin := fperror.ConnectFailed
 	switch reason {
-	case relayBusy, relayRefused:
+	case relayBusy, relayRefused, relayResting:
 		kin = fperror.Overloaded
 	case relayLost:
 		kin = fperror.UpstreamLost
@@ -295,6 +297,11 @@
 		exc.fwd.peers.Fail(cho.peer, now, fprelay.Busy)
 	case relayNoPath, relayEnded:
 		cho.member.recordRelay(now, false)
+	case relayResting:
+		// Another VM must not go on in its place.
+		cho.member.rest(now, min(rel.after, maxRest), 0)
+		exc.tried[cho.member] = true
+		exc.rateWait = max(exc.rateWait, rel.after)
 	case relayRefused:
 		exc.tried[cho.member] = true
 		exc.rateWait = max(exc.rateWait, rel.after)
--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -155,6 +155,10 @@
 		exc.refuseRelay(exc.noPathReason(nil), 0, nil)
 		return
 	}
+	if cho.state.rest > 0 {
+		exc.refuseRelay(relayResting, cho.state.rest, nil)
+		return
+	}
 	if !cho.state.usable || vie.table == nil {
 		exc.refuseRelay(relayRefused, mem.holdDownRemaining(now), nil)
 		return
