fpforward, fpcontrol, fpgate: obey an upstream that says in its answers that it leaves

What callers saw: an upstream that leaves got requests for as long as it ran from a VM that had not heard of it from the control VMs, and those in flight at its end were lost.

Cause: departures were heard by announcements only, through control VMs.

Change: the header in any answer, also in refusals and answers to orders, marks this incarnation on the VM that got it, until the incarnation ends. Requests without a key go elsewhere from then on, and those with a key until half a second before the end of drain, which is the time for the keys to move. The VM reports the upstream to the leader until the control VMs say that it leaves; the leader commits it, and the keeper moves the keys with a handover. A VM that cannot reach a control VM obeys alone. A relaying VM obeys, too, and passes the answer on as it came. Other texts than 1 are counted as leavingInvalid and change nothing.

Measured: the test failed before and passes, with and without keys; at least 170 of 180 requests are served by the other upstream.

--- a/internal/config/fpgateway/settings.go
+++ b/internal/config/fpgateway/settings.go
@@ -46,6 +46,7 @@
 	RetryExtra  float64 `json:"retryExtra"`
 	RetryShare  float64 `json:"retryShare"`
 	MaxHold     string  `json:"maxHold"`
+	Drain       string  `json:"drain"`
 }
 
 type losses struct {
@@ -209,6 +210,8 @@
 	RetryWindow time.Duration
 	// MaxHold is the maximum hold time of a grant.
 	MaxHold time.Duration
+	// Drain is the time after an upstream has said that it leaves in which it may still get requests.
+	Drain time.Duration
 }
 
 // Defaults of the promises that the settings file omits. That of RetryExtra is 0.
@@ -217,6 +220,7 @@
 	defaultRetryWindow = 10 * time.Second
 	defaultRetryShare  = 0.1
 	defaultMaxHold     = 10 * time.Second
+	defaultDrain       = 2500 * time.Millisecond
 )
 
 // Promises returns the promised limits, with defaults for those that the settings file omits.
@@ -242,6 +246,7 @@
 		RetryExtra:  fil.RetryExtra,
 		RetryShare:  fil.RetryShare,
 		MaxHold:     duration("maxHold", fil.MaxHold, defaultMaxHold),
+		Drain:       duration("drain", fil.Drain, defaultDrain),
 	}
 	if fil.RetryShare == 0 {
 		set.promises.RetryShare = defaultRetryShare
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -104,8 +104,10 @@
 	peers        map[string]fpstateconnect.StateServiceClient
 	lastContact  map[string]time.Time // when a control VM last took a message, or when the first message to it failed
 	joinRequests map[string]time.Time // when a VM last asked to join
-	leaderChange chan struct{}        // closed and replaced when the leadership of the group changes
-	keeper       *fpkeeper.Keeper     // nil while this VM doesn't place keys
+	// pendingLeaving are the upstreams of which a commit that they leave is in flight.
+	pendingLeaving map[string]bool
+	leaderChange   chan struct{}    // closed and replaced when the leadership of the group changes
+	keeper         *fpkeeper.Keeper // nil while this VM doesn't place keys
 }
 
 // New opens the data folder and returns a control VM that does not run yet. The error is of kind StorageFailed or
@@ -115,7 +117,6 @@
 		cfg:           cfg,
 		directory:     fpdirectory.New(),
 		client:        newPeerClient(),
-		orders:        newOrderSender(),
 		followers:     newFollowers(),
 		announcements: newAnnouncements(),
 		rates:         fprate.NewPool(),
@@ -124,8 +125,11 @@
 		peers:         map[string]fpstateconnect.StateServiceClient{},
 		lastContact:   map[string]time.Time{},
 		joinRequests:  map[string]time.Time{},
-		leaderChange:  make(chan struct{}),
+
+		pendingLeaving: map[string]bool{},
+		leaderChange:   make(chan struct{}),
 	}
+	con.orders = newOrderSender(con.observeOrderAnswer)
 	con.service = &service{
 		con: con,
 	}
--- a/internal/node/fpcontrol/orders.go
+++ b/internal/node/fpcontrol/orders.go
@@ -12,6 +12,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
@@ -45,13 +46,17 @@
 	lastFailure map[string]time.Time
 }
 
-func newOrderSender() *orderSender {
+// newOrderSender returns a sender that passes to observe, for each answer, whether its upstream says that it leaves. Nil: nobody is
+// told.
+func newOrderSender(observe func(ups *fpstate.Upstream, leaving bool)) *orderSender {
 	return &orderSender{
 		persistent: &platform.OrderSender{
-			Client: newOrderClient(false),
+			Client:  newOrderClient(false),
+			Observe: observe,
 		},
 		fresh: &platform.OrderSender{
-			Client: newOrderClient(true),
+			Client:  newOrderClient(true),
+			Observe: observe,
 		},
 		lastFailure: map[string]time.Time{},
 	}
--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -67,7 +67,7 @@
 // connections or lets them wait, and then loses its keys.
 func TestRenewalsReuseConnection(t *testing.T) {
 	ups := newCountingUpstream(t)
-	snd := newOrderSender()
+	snd := newOrderSender(nil)
 	for range 5 {
 		if res, err := snd.send(t.Context(), ups.order()); err != nil || !res.Answered || res.Uncertain {
 			t.Fatalf("got %+v, %v", res, err)
@@ -82,7 +82,7 @@
 // against a second owner of the keys: the call on the broken connection may take effect later, so the result must be uncertain.
 func TestDroppedIdleConnectionIsRetried(t *testing.T) {
 	ups := newCountingUpstream(t)
-	snd := newOrderSender()
+	snd := newOrderSender(nil)
 	if _, err := snd.send(t.Context(), ups.order()); err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +109,7 @@
 // answer. Its keys would go to another upstream while work on them goes on.
 func TestReleasesUseFreshConnections(t *testing.T) {
 	ups := newCountingUpstream(t)
-	snd := newOrderSender()
+	snd := newOrderSender(nil)
 	if _, err := snd.send(t.Context(), ups.order()); err != nil {
 		t.Fatal(err)
 	}
@@ -170,7 +170,7 @@
 			URL: "http://" + lis.Addr().String(),
 		},
 	}
-	snd := newOrderSender()
+	snd := newOrderSender(nil)
 	if res, err := snd.send(t.Context(), ups.order()); err != nil || res.Uncertain {
 		t.Fatalf("got %+v, %v", res, err)
 	}
@@ -218,7 +218,7 @@
 					URL: "http://" + lis.Addr().String(),
 				},
 			}
-			snd := newOrderSender()
+			snd := newOrderSender(nil)
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -347,7 +347,8 @@
 		}
 		crashes, cleared := wat.forwarder.TakeCrashes()
 		cal := rates.NewCall(time.Now())
-		if len(counts)+len(crashes)+len(cleared) == 0 && cal.Empty() {
+		leaving := wat.forwarder.Leaving()
+		if len(counts)+len(crashes)+len(cleared)+len(leaving) == 0 && cal.Empty() {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -359,6 +360,7 @@
 			Cleared: cleared,
 			Rates:   fprate.EncodeStatements(cal.SentAt, cal.Statements),
 			Asks:    fprate.EncodeAsks(cal.Asks),
+			Leaving: leaving,
 		}))
 		cancel()
 		if err != nil {
--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -145,6 +145,9 @@
 
 		waitForRate: true,
 	}
+	if exc.fwd.left(cho.state) {
+		return choice{}, exc.checkLeft(mem)
+	}
 	if cho.state.rest > 0 {
 		return cho, exc.restError(mem, cho.state.rest)
 	}
@@ -238,7 +241,7 @@
 			mean += sta.mean
 			load += sta.load
 		}
-		if !sta.usable || sta.rest > 0 || sta.atConnectionLimit(accepted, entries) {
+		if !sta.usable || sta.rest > 0 || exc.fwd.left(sta) || sta.atConnectionLimit(accepted, entries) {
 			continue
 		}
 		cho := choice{
@@ -276,12 +279,15 @@
 func (exc *exchange) cost(cho choice) time.Duration {
 	mem, sta := cho.member, cho.state
 	cost := sta.expectedTime()
-	if sta.explorationDue && cho.peer == nil && exc.mayExplore(mem, sta) {
+	if sta.explorationDue && cho.peer == nil && !sta.leaving && exc.mayExplore(mem, sta) {
 		// Otherwise an upstream that is new or was slow once would get no requests while others are idle.
 		cost = 0
 	}
 	cost += time.Duration((exc.fwd.random() - 0.5) * jitterFraction * float64(cost))
 	cost += time.Duration(sta.failureRate * float64(failureCost))
+	if sta.leaving {
+		cost += leavingCost
+	}
 	if pee := cho.peer; pee != nil {
 		return cost + relayCost + exc.distanceCost(distance(pee.Distance())) + exc.distanceCost(exc.fwd.distanceFrom(pee.DataCentre(), pee.Region(), mem.upstream))
 	}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -1,6 +1,7 @@
 package fpforward
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -305,7 +306,7 @@
 		exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
 		return nil, err
 	}
-	if err := exc.checkRest(mem); err != nil {
+	if err := cmp.Or(exc.checkLeft(mem), exc.checkRest(mem)); err != nil {
 		exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
 		mem.connections.Put(con, 0)
 		return nil, err
@@ -332,6 +333,7 @@
 		exc.countAnswer(rep)
 	}
 	exc.observeRate(mem, sentAt, rep, err)
+	exc.observeLeaving(mem, rep)
 	took := tim.elapsed(time.Now())
 	exc.fwd.counters.observe("upstream", took)
 	if err != nil && con.Crashed() {
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -124,9 +124,11 @@
 	relayHeldUntil time.Time
 	relayHold      time.Duration
 	// restUntil is until when the upstream wants no requests from this VM. restTrial states that it has not answered since.
-	restUntil   time.Time
-	restTrial   bool
-	failureRate float64 // moving mean, from 0 to 1
+	restUntil time.Time
+	restTrial bool
+	// leavingSince is when the upstream has first said in an answer that it leaves, or zero.
+	leavingSince time.Time
+	failureRate  float64 // moving mean, from 0 to 1
 	// connectPauseUntil is until when no new connections are opened, and connectPause the length of the last pause.
 	connectPauseUntil time.Time
 	connectPause      time.Duration
@@ -188,6 +190,9 @@
 	path pathStatus
 	// rest is the time until the upstream may get the next request because it has asked for rest, or 0.
 	rest time.Duration
+	// leaving states that the upstream has said in an answer that it leaves, and leavingFor the time since then.
+	leaving    bool
+	leavingFor time.Duration
 	// inFlight is the number of requests of this VM's callers in flight, and relayed that of other VMs'.
 	inFlight int
 	relayed  int
@@ -224,6 +229,8 @@
 		inFlight:    mem.inFlight - mem.relayed,
 		relayed:     mem.relayed,
 		rest:        mem.restRemaining(now),
+		leaving:     !mem.leavingSince.IsZero(),
+		leavingFor:  now.Sub(mem.leavingSince),
 		load:        float64(mem.inFlight) + other,
 		loadAge:     age,
 		mean:        mem.mean + time.Duration(float64(mem.excess)*decay(now.Sub(mem.overdueAt), silenceHalfLife)),
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -271,6 +271,7 @@
 		exc.fwd.peers.Succeed(pee, time.Now())
 		mem.recordRelay(time.Now(), true)
 		exc.observeRate(mem, sentAt, rep, err)
+		exc.observeLeaving(mem, rep)
 	}
 	return exc.finishAttempt(cho, rep, err, took)
 }
--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -155,6 +155,10 @@
 		exc.refuseRelay(exc.noPathReason(nil), 0, nil)
 		return
 	}
+	if exc.fwd.left(cho.state) {
+		exc.refuseRelay(relayUnknown, 0, nil)
+		return
+	}
 	if cho.state.rest > 0 {
 		exc.refuseRelay(relayResting, cho.state.rest, nil)
 		return
