fpsoak: cut entry VMs off from upstreams, and let upstreams rest and say that they leave

From outside it checks that callers of that VM are served (the bounds of RECOVER), that a worker which asked a VM for rest gets at most two requests more of it (BUDGET), and that one which says that it leaves gets none later than drain (DRAIN). TestChecksFindViolations shows that each check can fail.

--- a/internal/bench/fpsoak/command.go
+++ b/internal/bench/fpsoak/command.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -111,11 +112,37 @@
 		started[pro.name] = pro.starts
 	}
 	fle.record.checkRates(started)
+	fle.record.checkRests(fle.startedBetween)
+	fle.record.checkCuts(fle.events())
 	fle.record.mutex.Lock()
 	defer fle.record.mutex.Unlock()
 	return fle.record.violations, fle.record.served, nil
 }
 
+// startedBetween reports whether an entry VM was started between two times.
+func (fle *fleet) startedBetween(entry string, from, to time.Time) bool {
+	for _, pro := range fle.entries {
+		if pro.name != entry {
+			continue
+		}
+		pro.mutex.Lock()
+		defer pro.mutex.Unlock()
+		return slices.ContainsFunc(pro.starts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	}
+	return false
+}
+
+// events returns the times at which entry VMs were started, got a signal or ended.
+func (fle *fleet) events() []time.Time {
+	var all []time.Time
+	for _, pro := range fle.entries {
+		pro.mutex.Lock()
+		all = append(all, pro.events...)
+		pro.mutex.Unlock()
+	}
+	return all
+}
+
 // waitUntilServing waits until all entry VMs serve requests of both services. It returns false after length.
 func (fle *fleet) waitUntilServing(ctx context.Context, length time.Duration) bool {
 	end := time.Now().Add(length)
@@ -149,6 +176,10 @@
 	group.Go(func() { fle.watchOwners(loadCtx) })
 	group.Go(func() { fle.watchReads(loadCtx) })
 	group.Go(func() { fle.nameRates(faultsCtx) })
+	if !fle.plannedStopsOnly {
+		group.Go(func() { fle.askForRest(faultsCtx) })
+		group.Go(func() { fle.cutEntryPaths(faultsCtx) })
+	}
 	fle.injectFaults(faultsCtx)
 	const recoveryTime = 9 * time.Second // covers the longest planned stop and the repair after the loss of a disk
 	for _, pro := range fle.processes() {
--- a/internal/bench/fpsoak/faults.go
+++ b/internal/bench/fpsoak/faults.go
@@ -129,6 +129,8 @@
 func (fle *fleet) retireWorker(ctx context.Context, prw *proxiedWorker) {
 	prw.cancel()
 	prw.worker.SetLeaving()
+	prw.worker.SayLeaving("1")
+	said := time.Now()
 	if !prw.worker.AnnounceOnce(ctx, fle.controlClient, fle.controlAddresses()) {
 		return
 	}
@@ -139,6 +141,7 @@
 	go func() {
 		wait(ctx, maxDrainTime+time.Second)
 		fle.checkDrain(prw)
+		fle.record.checkLeaving(prw.worker, said, fle.startedBetween)
 		fle.removeWorker(prw)
 	}()
 }
--- a/internal/bench/fpsoak/fleet.go
+++ b/internal/bench/fpsoak/fleet.go
@@ -43,6 +43,8 @@
 	controlClient *platform.ControlClient
 	record        record
 	lastAttempt   atomic.Int64
+	// cuts are the entry VMs that have lost their paths to workers.
+	cuts cutPaths
 	// plannedStopsOnly states that the only faults are planned stops of entry VMs.
 	plannedStopsOnly bool
 
@@ -64,7 +66,7 @@
 
 // newFleet returns a fleet without processes and workers.
 func newFleet(cfg Config) *fleet {
-	return &fleet{
+	fle := &fleet{
 		cfg: cfg,
 		ran: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		client: &http.Client{
@@ -80,6 +82,8 @@
 		},
 		plannedStopsOnly: cfg.Seed%5 == 4,
 	}
+	fle.cuts.entries = func() []*process { return fle.entries }
+	return fle
 }
 
 // start starts all processes and workers. The first three control VMs are the seeds.
@@ -105,6 +109,9 @@
 		if pro.ready, err = freeAddress(); err != nil {
 			return err
 		}
+		if pro.relay, err = freeAddress(); err != nil {
+			return err
+		}
 		fle.entries = append(fle.entries, pro)
 	}
 	for _, pro := range fle.processes() {
@@ -113,6 +120,7 @@
 			"callers": pro.callers,
 			"ready":   pro.ready,
 			"control": pro.control,
+			"relay":   pro.relay,
 		}
 		if err := pro.start(); err != nil {
 			return err
@@ -185,7 +193,7 @@
 	if err := wor.Listen(); err != nil {
 		return err
 	}
-	pro, err := newProxy(wor.Upstream().GetAddress())
+	pro, err := newProxy(wor.Upstream().GetAddress(), &fle.cuts)
 	if err != nil {
 		return fperror.Wrap(fperror.Internal, err, "start a proxy")
 	}
--- a/internal/bench/fpsoak/process.go
+++ b/internal/bench/fpsoak/process.go
@@ -18,9 +18,9 @@
 	program string
 	folder  string
 	name    string
-	// Addresses of the listeners. An entry VM has callers and ready, a control VM has control; the others are empty.
-	control, callers, ready string
-	settings                map[string]any
+	// Addresses of the listeners. An entry VM has callers, ready and relay, a control VM has control; the others are empty.
+	control, callers, ready, relay string
+	settings                       map[string]any
 
 	// restartMutex is held during a restart, so that the VM never runs twice at once.
 	restartMutex sync.Mutex
@@ -30,6 +30,8 @@
 	ended chan struct{}
 	// lastEvent is the time of the last start, signal or exit of the process.
 	lastEvent time.Time
+	// events holds the times of all of them.
+	events []time.Time
 	// starts holds the times of all starts.
 	starts []time.Time
 }
@@ -48,7 +50,7 @@
 func (pro *process) start() error {
 	pro.mutex.Lock()
 	defer pro.mutex.Unlock()
-	pro.lastEvent = time.Now()
+	pro.recordEvent()
 	buf, err := json.Marshal(pro.settings)
 	if err != nil {
 		return fperror.Wrap(fperror.Internal, err, "write the settings of %s", pro.name)
@@ -79,11 +81,27 @@
 	return nil
 }
 
+// recordEvent records a start, signal or exit of the process. The caller holds the mutex.
+func (pro *process) recordEvent() {
+	pro.lastEvent = time.Now()
+	pro.events = append(pro.events, pro.lastEvent)
+}
+
+// pid returns the id of the process, or 0 if it was never started.
+func (pro *process) pid() int {
+	pro.mutex.Lock()
+	defer pro.mutex.Unlock()
+	if pro.cmd == nil || pro.cmd.Process == nil {
+		return 0
+	}
+	return pro.cmd.Process.Pid
+}
+
 // signal sends a signal to the process if it has been started and awaitExit has not seen its exit.
 func (pro *process) signal(sig syscall.Signal) {
 	pro.mutex.Lock()
 	defer pro.mutex.Unlock()
-	pro.lastEvent = time.Now()
+	pro.recordEvent()
 	if pro.cmd != nil {
 		_ = pro.cmd.Process.Signal(sig) // the process may have ended
 	}
@@ -105,7 +123,7 @@
 	}
 	pro.mutex.Lock()
 	pro.cmd = nil
-	pro.lastEvent = time.Now()
+	pro.recordEvent()
 	pro.mutex.Unlock()
 }
 
--- a/internal/bench/fpsoak/record.go
+++ b/internal/bench/fpsoak/record.go
@@ -35,6 +35,8 @@
 	acceptedAt   time.Time
 	lastRevision uint64 // newest revision that was sent
 	rateSpans    []rateSpan
+	restSpans    []restSpan
+	cuts         []pathCut
 }
 
 // addAttempt adds the outcome of an attempt.
--- a/internal/bench/fpsoak/soak_test.go
+++ b/internal/bench/fpsoak/soak_test.go
@@ -67,6 +67,8 @@
 		}
 	}
 	checkRatesFindsViolation(t)
+	checkCutsFindsViolation(t)
+	checkRestsFindsViolation(t)
 	var rec record
 	rec.checkOwners([]*fpworker.Worker{holder(t, "one", 5, 10), holder(t, "two", 10, 20)})
 	if len(rec.violations) != 1 {
@@ -74,6 +76,78 @@
 	}
 }
 
+// checkCutsFindsViolation checks that an entry VM without paths that refuses its callers is found, unless an entry VM was restarted.
+func checkCutsFindsViolation(t *testing.T) {
+	t.Helper()
+	var rec record
+	from := time.Now()
+	rec.cuts = []pathCut{{
+		entry: "cut",
+		from:  from,
+		to:    from.Add(cutLength),
+	}}
+	for range 20 {
+		for entry, status := range map[string]int{"cut": http.StatusServiceUnavailable, "other": http.StatusOK} {
+			rec.addAttempt(attempt{
+				entry:  entry,
+				status: status,
+				ended:  from.Add(quietTime + time.Second),
+			})
+		}
+	}
+	rec.checkCuts([]time.Time{from.Add(time.Second)})
+	if len(rec.violations) != 0 {
+		t.Errorf("got violations %q beside a restart", rec.violations)
+	}
+	rec.checkCuts(nil)
+	if len(rec.violations) != 1 {
+		t.Errorf("got violations %q for a VM that refuses all, want 1", rec.violations)
+	}
+}
+
+// checkRestsFindsViolation checks that requests to a worker that has asked for rest, or has said that it leaves, are found.
+func checkRestsFindsViolation(t *testing.T) {
+	t.Helper()
+	wor := fpworker.New(fpworker.Config{
+		Upstream: &fpstate.Upstream{
+			Id: "w",
+		},
+	})
+	wor.Rest("2")
+	var rec record
+	from := time.Now()
+	for num := range 8 {
+		req := httptest.NewRequest(http.MethodGet, "/", nil)
+		id := fmt.Sprint("a", num)
+		platform.EncodeRequest(req.Header, platform.Request{
+			Attempt: id,
+		})
+		wor.ServeHTTP(httptest.NewRecorder(), req)
+		rec.addAttempt(attempt{
+			id:     id,
+			entry:  "entry",
+			status: http.StatusServiceUnavailable,
+			ended:  time.Now().Add(-2 * (maxDrainTime + callerTimeout)),
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+	rec.restSpans = []restSpan{{
+		worker: wor,
+		from:   from,
+		to:     time.Now(),
+	}}
+	never := func(string, time.Time, time.Time) bool { return false }
+	rec.checkRests(never)
+	if len(rec.violations) != 1 {
+		t.Errorf("got violations %q for requests to a worker that rests, want 1", rec.violations)
+	}
+	rec.violations = nil
+	rec.checkLeaving(wor, from, never)
+	if len(rec.violations) == 0 {
+		t.Error("got no violation for requests to a worker that leaves")
+	}
+}
+
 // checkRatesFindsViolation checks that a worker with too many requests for its rate is found, and that requests do not count that
 // a VM sent before it had passed on the rate.
 func checkRatesFindsViolation(t *testing.T) {
--- a/internal/config/fpgateway/settings_test.go
+++ b/internal/config/fpgateway/settings_test.go
@@ -29,6 +29,7 @@
 		RetryExtra:  56,
 		RetryShare:  0.2,
 		MaxHold:     defaultMaxHold,
+		Drain:       defaultDrain,
 	}
 	if set.Promises() != want {
 		t.Errorf("got promises %+v, want %+v", set.Promises(), want)
