fpserve: bound the pause that an upstream of calls asks for, and read fractions

Cause: pushBackOf read whole numbers up to 2^31 and nothing else, the first of several headers only, and counted nothing.

Change: decimal numbers, the longest of several, at most 30 s; values without meaning are counted as pushBackInvalid and change nothing.

--- a/internal/route/fpserve/answer.go
+++ b/internal/route/fpserve/answer.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -74,7 +74,10 @@
 }
 
 func (att *attempt) handleRefusal(kin fperror.Kind, hea http.Header) (time.Duration, error) {
-	pushBack := pushBackOf(hea)
+	pushBack, valid := pushBackOf(hea)
+	if !valid {
+		att.exc.ser.cfg.Count("pushBackInvalid")
+	}
 	err := fperror.New(kin, "%s refused the request", att.target.Upstream.GetName())
 	att.finish(Result{
 		Err:      err,
@@ -83,15 +86,35 @@
 	return pushBack, err
 }
 
-// pushBackOf returns how long the upstream asks the router to wait before it retries, or 0 if it does not ask.
-func pushBackOf(hea http.Header) time.Duration {
-	if millis, err := strconv.ParseUint(hea.Get("Grpc-Retry-Pushback-Ms"), 10, 31); err == nil {
-		return time.Duration(millis) * time.Millisecond
-	}
-	if secs, err := strconv.ParseUint(hea.Get("Retry-After"), 10, 31); err == nil {
-		return time.Duration(secs) * time.Second
+// maxPushBack bounds how long an upstream is not sent requests because it asks for a pause. It may ask again.
+const maxPushBack = 30 * time.Second
+
+// pushBackOf returns how long the upstream asks the router to wait before it retries, at most maxPushBack, or 0 if it does not ask. valid
+// is false if a header has no meaning: it is empty, negative, not decimal, not finite, or too long.
+func pushBackOf(hea http.Header) (pushBack time.Duration, valid bool) {
+	valid = true
+	for _, one := range []struct {
+		name string
+		unit time.Duration
+	}{
+		{
+			name: "Grpc-Retry-Pushback-Ms",
+			unit: time.Millisecond,
+		},
+		{
+			name: "Retry-After",
+			unit: time.Second,
+		},
+	} {
+		for _, text := range hea[one.name] {
+			num, ok := fprate.Parse(text)
+			valid = valid && ok
+			if ok {
+				pushBack = max(pushBack, time.Duration(min(num*float64(one.unit), float64(maxPushBack))))
+			}
+		}
 	}
-	return 0
+	return pushBack, valid
 }
 
 // checkHeader returns an error if a truncation of the answer could not be detected, or if the answer is not in the
