fpserve, fpentry, fpfence: upstreams of calls say in their answers that they leave

Change: the header Foxtailpulley-Leaving: 1 in any answer or refusal marks this incarnation on the VM that got it; it gets no more calls without a key from there. Slots are served by their owner until they have been moved, as before. Other values are counted as leavingInvalid.

--- a/api/upstream/fpcontract/fpcontractconnect/upstream.connect.go
+++ b/api/upstream/fpcontract/fpcontractconnect/upstream.connect.go
@@ -127,7 +127,8 @@
 	// When its lease has ended it drops the set and reports version 0. It responds only when no request for a removed slot is
 	// running.
 	Grant(context.Context, *connect.Request[fpcontract.GrantRequest]) (*connect.Response[fpcontract.GrantResponse], error)
-	// Drain tells the upstream to leave. It gets no new work.
+	// Drain tells the upstream to leave. It gets no new work. An upstream that leaves says so in all its answers, too, in the header
+	// Foxtailpulley-Leaving with the value 1.
 	Drain(context.Context, *connect.Request[fpcontract.DrainRequest]) (*connect.Response[fpcontract.DrainResponse], error)
 	// Cancel cancels a request and returns only when it has stopped. A request that has not arrived yet is refused on arrival.
 	Cancel(context.Context, *connect.Request[fpcontract.CancelRequest]) (*connect.Response[fpcontract.CancelResponse], error)
@@ -197,7 +198,8 @@
 	// When its lease has ended it drops the set and reports version 0. It responds only when no request for a removed slot is
 	// running.
 	Grant(context.Context, *connect.Request[fpcontract.GrantRequest]) (*connect.Response[fpcontract.GrantResponse], error)
-	// Drain tells the upstream to leave. It gets no new work.
+	// Drain tells the upstream to leave. It gets no new work. An upstream that leaves says so in all its answers, too, in the header
+	// Foxtailpulley-Leaving with the value 1.
 	Drain(context.Context, *connect.Request[fpcontract.DrainRequest]) (*connect.Response[fpcontract.DrainResponse], error)
 	// Cancel cancels a request and returns only when it has stopped. A request that has not arrived yet is refused on arrival.
 	Cancel(context.Context, *connect.Request[fpcontract.CancelRequest]) (*connect.Response[fpcontract.CancelResponse], error)
--- a/api/upstream/fpfence/fence.go
+++ b/api/upstream/fpfence/fence.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// Drain marks the upstream as leaving, from the next announcement on, so that it gets no new slots. The upstream continues to
-// serve the slots that it still owns.
+// Drain marks the upstream as leaving, in the next announcement and in all answers of Handler, so that it gets no new slots and no more
+// calls without a key. The upstream continues to serve the slots that it still owns.
 func (fen *Fence) Drain() {
 	fen.mutex.Lock()
 	defer fen.mutex.Unlock()
--- a/api/upstream/fpfence/fence_test.go
+++ b/api/upstream/fpfence/fence_test.go
@@ -345,3 +345,20 @@
 	ann <- req.Msg
 	return connect.NewResponse(&fpcontract.AnnounceResponse{RetryAfter: durationpb.New(10 * time.Millisecond)}), nil
 }
+
+// TestAnswersSayLeaving guards against an upstream that leaves and does not say so in its answers and refusals.
+func TestAnswersSayLeaving(t *testing.T) {
+	fen := New(Config{Name: "stock-1", Keyed: true})
+	answer := func() string {
+		rec := httptest.NewRecorder()
+		fen.Handler(http.NotFoundHandler()).ServeHTTP(rec, httptest.NewRequest(http.MethodPost, "/s.v1.S/Get", nil))
+		return rec.Header().Get("Foxtailpulley-Leaving")
+	}
+	if got := answer(); got != "" {
+		t.Errorf("an upstream that stays says %q", got)
+	}
+	fen.Drain()
+	if got := answer(); got != "1" {
+		t.Errorf("an upstream that leaves says %q, want 1", got)
+	}
+}
--- a/api/upstream/fpfence/handler.go
+++ b/api/upstream/fpfence/handler.go
@@ -40,13 +40,13 @@
 		defer cancel()
 		act, err := fen.begin(req.Header, cancel)
 		if err != nil {
-			fen.nameRate(wri.Header())
+			fen.nameState(wri.Header())
 			wri.Header().Set("Foxtailpulley-Refused", "fence")
 			_ = refusals.Write(wri, req, connect.NewError(connect.CodeUnavailable, err))
 			return
 		}
 		defer fen.end(act)
-		fen.nameRate(wri.Header())
+		fen.nameState(wri.Header())
 		next.ServeHTTP(wri, req.WithContext(ctx))
 	})
 }
--- a/api/upstream/fpfence/rate.go
+++ b/api/upstream/fpfence/rate.go
@@ -20,11 +20,14 @@
 	fen.rate = ""
 }
 
-// nameRate sets the header that names the rate, if there is one.
-func (fen *Fence) nameRate(hea http.Header) {
+// nameState sets the headers that name the rate, if there is one, and that the upstream leaves, if it does.
+func (fen *Fence) nameState(hea http.Header) {
 	fen.mutex.Lock()
 	defer fen.mutex.Unlock()
 	if fen.rate != "" {
 		hea.Set("Foxtailpulley-Rate", fen.rate)
 	}
+	if fen.draining {
+		hea.Set("Foxtailpulley-Leaving", "1")
+	}
 }
--- a/internal/bench/fpstandin/handler.go
+++ b/internal/bench/fpstandin/handler.go
@@ -24,6 +24,8 @@
 	BundleHeader = "Standin-Bundle"
 	// PushBackHeader on a refusal carries the time in milliseconds to wait before a retry, as in gRPC.
 	PushBackHeader = "Grpc-Retry-Pushback-Ms"
+	// LeavingHeader on an answer states with the value 1 that the stand-in leaves.
+	LeavingHeader = "Foxtailpulley-Leaving"
 	// maxSmallBodyBytes bounds the request body of a small call.
 	maxSmallBodyBytes = 1 << 20
 	// bundleChunkBytes is the number of bytes that one write of a bundle has at most.
@@ -66,6 +68,12 @@
 
 // serveCall runs a request. It answers a small call with the body of the request and a bundle with BundleBytes zeros.
 func (sta *Standin) serveCall(out http.ResponseWriter, req *http.Request) {
+	sta.mut.Lock()
+	leaving := sta.leaving
+	sta.mut.Unlock()
+	if leaving != "" {
+		out.Header().Set(LeavingHeader, leaving)
+	}
 	if reason := sta.refusalReason(req); reason != "" {
 		sta.refuse(out, reason)
 		return
--- a/internal/bench/fpstandin/standin.go
+++ b/internal/bench/fpstandin/standin.go
@@ -50,6 +50,7 @@
 	thawed             chan struct{} // closed unless frozen
 	frozen             bool
 	draining           bool
+	leaving            string // value of LeavingHeader in all answers, or empty
 	unhealthy          bool
 	connections        int
 	refusedConnections int // connections closed beyond MaxConnections
@@ -207,6 +208,13 @@
 	sta.draining = draining
 }
 
+// SayLeaving sets the value of LeavingHeader in all later answers; an empty one ends that. Requests are served anyway.
+func (sta *Standin) SayLeaving(value string) {
+	sta.mut.Lock()
+	defer sta.mut.Unlock()
+	sta.leaving = value
+}
+
 // SetUnhealthy makes the health endpoint report that the upstream is not ready, or ends this. Requests are served anyway.
 func (sta *Standin) SetUnhealthy(unhealthy bool) {
 	sta.mut.Lock()
--- a/internal/node/fpentry/entry.go
+++ b/internal/node/fpentry/entry.go
@@ -108,20 +108,22 @@
 	}
 	ent.link.Store(fplimit.NewLink(fplimit.LinkConfig{}))
 	ent.server = fpserve.New(fpserve.Config{
-		Pools:         ent.pools,
-		Schema:        cfg.Schema,
-		MaxDeadline:   ent.maxDeadline,
-		Route:         ent.route,
-		Choose:        ent.choose,
-		Admit:         ent.admit,
-		ObserveRate:   ent.observeRate,
-		Retry:         ent.retry,
-		ReportSuccess: ent.recordSuccess,
-		Claim:         ent.claim,
-		Settle:        ent.settle,
-		ReportCrash:   ent.reportCrash,
-		IsQuarantined: ent.isQuarantined,
-		Count:         cfg.Count,
+		Pools:       ent.pools,
+		Schema:      cfg.Schema,
+		MaxDeadline: ent.maxDeadline,
+		Route:       ent.route,
+		Choose:      ent.choose,
+		Admit:       ent.admit,
+		ObserveRate: ent.observeRate,
+
+		ObserveLeaving: ent.observeLeaving,
+		Retry:          ent.retry,
+		ReportSuccess:  ent.recordSuccess,
+		Claim:          ent.claim,
+		Settle:         ent.settle,
+		ReportCrash:    ent.reportCrash,
+		IsQuarantined:  ent.isQuarantined,
+		Count:          cfg.Count,
 	})
 	return ent
 }
--- a/internal/node/fpentry/path.go
+++ b/internal/node/fpentry/path.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/api/schema/fpoption"
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract"
@@ -195,6 +196,20 @@
 	ent.rates.ObserveNone(rateKey(tar.Upstream), sent)
 }
 
+// observeLeaving records that an upstream says in an answer that it leaves. This incarnation gets no more calls without a key from this
+// VM. It serves the slots that it owns until they have been moved away.
+func (ent *Entry) observeLeaving(tar *fpserve.Target) {
+	ent.mutex.Lock()
+	defer ent.mutex.Unlock()
+	ser, ups := ent.services[tar.Upstream.GetService()], tar.Upstream
+	if ser == nil || ser.leaving[ups.GetName()] == ups.GetIncarnation() {
+		return
+	}
+	ser.leaving[ups.GetName()] = ups.GetIncarnation()
+	ser.setUsable(ups)
+	ent.cfg.Log.Info("an upstream says that it leaves", zap.String("upstream", ups.GetName()), zap.Uint64("incarnation", ups.GetIncarnation()))
+}
+
 // observeHealth passes the result of an attempt to the health state of the upstream.
 func (ent *Entry) observeHealth(cal *fpserve.Call, tar *fpserve.Target, err error) {
 	ent.mutex.Lock()
--- a/internal/node/fpentry/service.go
+++ b/internal/node/fpentry/service.go
@@ -1,6 +1,7 @@
 package fpentry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -23,7 +24,9 @@
 	health   *fphealth.Set
 	drained  map[string]bool
 	ejected  map[string]bool
-	members  []*fpcontract.Upstream
+	// leaving holds the incarnations that have said in an answer that they leave.
+	leaving map[string]uint64
+	members []*fpcontract.Upstream
 }
 
 // upstreamLimiter is the concurrency limiter of one incarnation of an upstream.
@@ -61,6 +64,7 @@
 		}),
 		drained: drainedSet(cfg),
 		ejected: map[string]bool{},
+		leaving: map[string]uint64{},
 	}
 	ent.services[name] = ser
 	return ser
@@ -109,16 +113,17 @@
 		}
 	}
 	ser.balancer.Update(list)
+	maps.DeleteFunc(ser.leaving, func(name string, incarnation uint64) bool { return incarnations[name] != incarnation })
 	ent.applyHealthChanges(ser, ser.health.Update(time.Now(), incarnations))
 	for _, ups := range ser.members {
 		ser.setUsable(ups)
 	}
 }
 
-// setUsable tells the balancer whether an upstream may be chosen: it is not draining, drained by an operator or ejected.
+// setUsable tells the balancer whether an upstream may be chosen: it does not leave, and is not drained by an operator or ejected.
 func (ser *service) setUsable(ups *fpcontract.Upstream) {
 	name := ups.GetName()
-	ser.balancer.SetUsable(name, !ups.GetDraining() && !ser.drained[name] && !ser.ejected[name])
+	ser.balancer.SetUsable(name, !ups.GetDraining() && ser.leaving[name] != ups.GetIncarnation() && !ser.drained[name] && !ser.ejected[name])
 }
 
 // applyHealthChanges applies changed health states to the choice of upstreams. The caller holds the mutex.
--- a/internal/route/fpserve/answer.go
+++ b/internal/route/fpserve/answer.go
@@ -42,6 +42,7 @@
 	if named {
 		att.exc.ser.cfg.ObserveRate(att.target, att.sent, rate[0], true)
 	}
+	att.observeLeaving(res.Header)
 	if kin, ok := refusalKinds[res.Header.Get("Foxtailpulley-Refused")]; ok {
 		return att.handleRefusal(kin, res.Header)
 	}
@@ -117,6 +118,20 @@
 	return pushBack, valid
 }
 
+// leavingHeader is the header by which an upstream says that it leaves. Only the value 1 has a meaning.
+const leavingHeader = "Foxtailpulley-Leaving"
+
+// observeLeaving passes on that the upstream says that it leaves.
+func (att *attempt) observeLeaving(hea http.Header) {
+	for _, text := range hea[leavingHeader] {
+		if strings.TrimSpace(text) != "1" {
+			att.exc.ser.cfg.Count("leavingInvalid")
+			continue
+		}
+		att.exc.ser.cfg.ObserveLeaving(att.target)
+	}
+}
+
 // checkHeader returns an error if a truncation of the answer could not be detected, or if the answer is not in the
 // protocol of the call.
 func (ans *answer) checkHeader() error {
--- a/internal/route/fpserve/config.go
+++ b/internal/route/fpserve/config.go
@@ -40,6 +40,8 @@
 	// ObserveRate is called after each answer of an upstream to a request sent at the given time. rate is the text of the
 	// request rate that the upstream names for all VMs together, and named is false if it names none.
 	ObserveRate func(tar *Target, sent time.Time, rate string, named bool)
+	// ObserveLeaving is called for each answer by which an upstream says that it leaves.
+	ObserveLeaving func(tar *Target)
 	// Retry reports whether the call may be attempted again after err, and returns the delay before that attempt.
 	// pushBack is the wait that the upstream asked for, or 0.
 	Retry func(cal *Call, err error, pushBack time.Duration) (delay time.Duration, ok bool)
@@ -105,6 +107,9 @@
 	if cfg.ObserveRate == nil {
 		cfg.ObserveRate = func(*Target, time.Time, string, bool) {}
 	}
+	if cfg.ObserveLeaving == nil {
+		cfg.ObserveLeaving = func(*Target) {}
+	}
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
