--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -193,6 +193,10 @@
 		return
 	}
 	defer release()
+	if err := exc.checkQuarantine(now); err != nil {
+		exc.refuseRelay(relayRefused, 0, err)
+		return
+	}
 	releaseBundle, err := exc.acquireBundlePermit(ctx)
 	if err != nil {
 		exc.refuseRelay(relayBusy, 0, err)
