--- a/internal/bench/fpsoak/fleet.go
+++ b/internal/bench/fpsoak/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpport"
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/platform"
@@ -90,7 +91,7 @@
 func (fle *fleet) start(ctx context.Context) error {
 	var seeds []string
 	for num := range fle.cfg.Controls {
-		address, err := freeAddress()
+		address, err := fpport.Free()
 		if err != nil {
 			return err
 		}
@@ -103,13 +104,13 @@
 	for num := range fle.cfg.Entries {
 		pro := fle.newProcess(fmt.Sprintf("entry-%d", num), num)
 		var err error
-		if pro.callers, err = freeAddress(); err != nil {
+		if pro.callers, err = fpport.Free(); err != nil {
 			return err
 		}
-		if pro.ready, err = freeAddress(); err != nil {
+		if pro.ready, err = fpport.Free(); err != nil {
 			return err
 		}
-		if pro.relay, err = freeAddress(); err != nil {
+		if pro.relay, err = fpport.Free(); err != nil {
 			return err
 		}
 		fle.entries = append(fle.entries, pro)
--- a/internal/bench/fpsoak/process.go
+++ b/internal/bench/fpsoak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -36,16 +35,6 @@
 	starts []time.Time
 }
 
-// freeAddress returns a loopback address with a port that was free during the call.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = lis.Close() }() // the listener only reserved the port
-	return lis.Addr().String(), nil
-}
-
 // start writes the settings and starts the process. Its output is appended to a log file.
 func (pro *process) start() error {
 	pro.mutex.Lock()
--- a/internal/node/fpgate/rate_test.go
+++ b/internal/node/fpgate/rate_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpcut"
+	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpport"
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpworker"
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fpcontrol"
@@ -116,24 +116,13 @@
 	return cop.RoundTripper.RoundTrip(req)
 }
 
-// lastPort is the last port that freeAddress has returned.
-var lastPort atomic.Int32
-
-// freeAddress returns a loopback address with a free port, another one at each call. It lies below the ports that the system gives
-// to outgoing connections, of which one could take it before it is used.
+// freeAddress returns a loopback address with a free port.
 func freeAddress(t *testing.T) string {
-	const first, count = 12000, 20000
-	lastPort.CompareAndSwap(0, first+int32(os.Getpid()*131%count))
-	for range count {
-		port := first + (lastPort.Add(1)-first)%count
-		lis, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
-		if err == nil {
-			_ = lis.Close()
-			return lis.Addr().String()
-		}
+	address, err := fpport.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
 
 // waitFor waits until a condition holds. It fails the test after 15 s.
