fpforward: end a waiting attempt for a lost path only if no upstream is heard

Cause: the request had waited for 0.6 s and the check of its path for another, while other upstreams were heard; the check failed on a full link, and the attempt was ended as if its connection hung. An answer must not be ended because an upstream is silent.

The path counts as lost for later requests as before.

--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -311,8 +311,8 @@
 }
 
 // watchPath returns a context for an attempt and watches its path until the returned function is called. If the connection
-// hangs, it marks the path as lost and ends the attempt of an idempotent request with the cause errPathLost. received returns
-// the number of bytes that the connection has received.
+// hangs, it marks the path as lost. If no upstream is heard, it also ends the attempt of an idempotent request with the cause
+// errPathLost. received returns the number of bytes that the connection has received.
 func (exc *exchange) watchPath(ctx context.Context, mem *member, received func() int64) (context.Context, func()) {
 	ctx, abandon := context.WithCancelCause(ctx)
 	began, before := time.Now(), received()
@@ -323,7 +323,8 @@
 		lost := false
 		if received() == before && exc.fwd.pathSilent(mem, began) {
 			err := exc.fwd.checkPath(mem)
-			lost = err != nil && !processEnded(err) && received() == before
+			// While others are heard, the upstream may only be slow, and an answer must not be ended for that.
+			lost = err != nil && !processEnded(err) && received() == before && exc.fwd.paths.silent(time.Now(), 2*silenceCheck)
 		}
 		mutex.Lock()
 		defer mutex.Unlock()
