fpgate: test of relays without control VMs, and of partial losses

A VM that has lost its paths keeps the list of its peers while no control VM can be reached, and one that has lost the path to one of two upstreams serves on.

--- a/internal/node/fpgate/stranded_test.go
+++ b/internal/node/fpgate/stranded_test.go
@@ -210,3 +210,25 @@
 	dep.checkRuns(workers, during)
 	dep.checkRuns(workers, once)
 }
+
+// TestRelayWithoutControlVMs guards against callers that are refused because their entry VM, without paths to upstreams, cannot reach the
+// control VMs either, and against one that loses only some paths.
+func TestRelayWithoutControlVMs(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		t.Run(fmt.Sprintf("all=%t", all), func(t *testing.T) {
+			t.Parallel()
+			dep := startDeployment(t, 3, false)
+			workers := []*fpworker.Worker{dep.addWorker("w-0", false), dep.addWorker("w-1", false)}
+			dep.waitFor("requests are served", func() bool { status, _ := dep.send(0, 1); return status == http.StatusOK })
+			dep.waitFor("the VM knows its peers", func() bool { return dep.gates[0].forwarder.RelaysDigest() != 0 })
+			dep.loadKinds(dep.allEntries(), 20, time.Second)
+			dep.controls[0].cut.Store(true)
+			lost := workers[0].Upstream().GetAddress()
+			dep.paths[0].Cut(fpcut.Hangs, func(address string) bool { return all || address == lost })
+			dep.loadKinds(dep.allEntries(), 20, recoverTime)
+			tallies, once := dep.loadKinds(dep.allEntries(), 20, 2*time.Second)
+			checkServed(t, tallies, func(entry int) bool { return entry == 0 })
+			dep.checkRuns(workers, once)
+		})
+	}
+}
