fpforward: don't relay an upload again after a part of its body is gone

When a peer refused an upload above 1 MiB after it had read some of the streamed part, the request was sent to the next peer without that part. The body has no length then, so that an upstream could have run it as whole.

Cause: the check of refusals by peers came before the one of what has been sent of a streamed body.

Change: such a request isn't sent again; it has not run, and the caller gets 503.

Measured: TestRefusedRelayOfLongBodyIsNotResent failed before (502, a second peer asked) and passes.

--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -276,7 +276,8 @@
 func (exc *exchange) mayRetry(err error) bool {
 	var rel *relayError
 	if errors.As(err, &rel) && !rel.reason.sent() {
-		return rel.reason != relayRefused && rel.reason != relayResting || !exc.keyed
+		ownRefusal := rel.reason == relayRefused || rel.reason == relayResting
+		return !exc.rest.maybeSent() && !(ownRefusal && exc.keyed)
 	}
 	if fperror.Is(err, fperror.Overloaded) && exc.keyed {
 		// Only the owner can run the request, and it accepts no new connection.
--- a/internal/route/fpforward/relay_test.go
+++ b/internal/route/fpforward/relay_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -212,3 +213,45 @@
 		})
 	}
 }
+
+// TestRefusedRelayOfLongBodyIsNotResent guards against an upload whose second try lacks the part of the body that a peer has read before
+// it refused the request.
+func TestRefusedRelayOfLongBodyIsNotResent(t *testing.T) {
+	par := newRelayPair(t)
+	wor := par.addWorker("work", nil)
+	refusing := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		_, _ = io.CopyN(io.Discard, req.Body, 3<<20/2)
+		wri.Header().Set(relayRefusalHeader, string(relayBusy))
+		wri.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(refusing.Close)
+	entry := func(vm string, server *httptest.Server, dataCentre string) *fpstate.EntryVM {
+		return &fpstate.EntryVM{
+			Vm:         vm,
+			Address:    strings.TrimPrefix(server.URL, "http://"),
+			DataCentre: dataCentre,
+			Region:     "east",
+		}
+	}
+	par.forward.SetRelays([]*fpstate.EntryVM{entry("refusing", refusing, "east-1"), entry("helper", par.relay, "east-2")}, 2)
+	par.paths.Cut(fpcut.Refused, nil)
+	req, err := http.NewRequest(http.MethodPost, par.server.URL+"/upload/", bytes.NewReader(make([]byte, 2<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform.EncodeRequest(req.Header, platform.Request{
+		Attempt: "long",
+		Timeout: time.Second,
+	})
+	res, err := par.server.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusServiceUnavailable || strings.Contains(par.metrics(), "relayFailures.unreachable") {
+		t.Errorf("status %d, want 503 after one peer was asked:\n%s", res.StatusCode, par.metrics())
+	}
+	if runs := len(wor.Runs()); runs > 0 {
+		t.Errorf("%d runs of an upload whose body was not whole", runs)
+	}
+}
