fpforward: a relayed request that is turned away holds down nothing on the VM that relays

What callers saw: on the grown sites, while VMs were cut off, VMs that relayed refused their own callers' requests with keys 100 to 500 times a second: 'upstream ..., which owns key ..., is held down after a failure'.

Cause: a request without a key that is turned away for load holds its upstream down for 60 ms on that VM, because others can take the next one. A relayed request bears no key for the relay, so that its refusal held down owners of keys, which nobody can replace.

Change: only requests of own callers do so.

Measured: TestShedRelayedRequestHoldsNothingDown failed before and passes.

--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -411,7 +411,7 @@
 		exc.runs--
 		resting := exc.observeRest(mem, rep)
 		mem.recordAnswer(now, rep.answer, took, !resting)
-		if cho.keyRange == nil && !resting {
+		if cho.keyRange == nil && !resting && !exc.relayed {
 			mem.recordShed(now)
 		}
 		exc.ownerFull = cho.keyRange != nil && rep.answer.HasLoad && rep.answer.Load.Waiting >= rep.answer.Load.Slots
--- a/internal/route/fpforward/relay_test.go
+++ b/internal/route/fpforward/relay_test.go
@@ -255,3 +255,24 @@
 		t.Errorf("%d runs of an upload whose body was not whole", runs)
 	}
 }
+
+// TestShedRelayedRequestHoldsNothingDown guards against callers of the relaying VM that are refused because an upstream has turned away a
+// request of another VM.
+func TestShedRelayedRequestHoldsNothingDown(t *testing.T) {
+	par := newRelayPair(t)
+	wor := par.addWorker("work", func(string) fpworker.Fault { return fpworker.Shed })
+	par.paths.Cut(fpcut.Refused, nil)
+	if status := par.get(par.harness, "/once/"); status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", status)
+	}
+	if wor.Arrivals() == 0 {
+		t.Fatal("the request did not reach the upstream")
+	}
+	mem := par.helper.forward.view.Load().active[incarnation{
+		id:   wor.Upstream().GetId(),
+		born: 1,
+	}]
+	if !mem.state(time.Now()).usable {
+		t.Error("the upstream is held down on the relaying VM")
+	}
+}
