fpforward: no hold-down of a peer for a caller that leaves, and no wait for peers in a check of a path

Both found in a reading of the diff. A connection to a peer that was not opened because the caller left, or its deadline passed, counted against the peer, which was not asked for 200 ms to 2 s. A check of a path that found the address refusing asked peers about it for up to 2 s before the requests that waited for the check went on. Now neither happens. go test ./internal/route/fpforward passes.

--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -271,7 +271,7 @@
 	if chk.err = err; err != nil {
 		fwd.losePath(mem, chk.began, err)
 		if processEnded(err) {
-			fwd.confirmEnded(mem)
+			go fwd.confirmEnded(mem) // the requests that wait for the check do not wait for the peers
 		}
 	} else {
 		fwd.paths.recordConnect(mem.distance, now.Sub(chk.began))
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -237,7 +237,9 @@
 	if con == nil {
 		var err error
 		if con, err = pol.Open(ctx); err != nil {
-			exc.recordRelayFailure(cho, err)
+			if ctx.Err() == nil {
+				exc.recordRelayFailure(cho, err)
+			}
 			return nil, err
 		}
 	}
