fpforward: the first request without an answer must not shut out the owner of its keys

Cause: when the first request of a VM to an upstream gets no answer before its deadline, as while its path is lost, the time that it waited became the upstream's mean time. Means change with answers only; with a mean above every caller's deadline the owner of a key gets no request and no answer.

Measured: TestOverdueFirstRequestIsForgotten failed before (1 s after 20 s) and passes.

--- a/internal/route/fpforward/choose_test.go
+++ b/internal/route/fpforward/choose_test.go
@@ -269,3 +269,18 @@
 		}
 	})
 }
+
+// TestOverdueFirstRequestIsForgotten guards against the owner of a key that gets no more requests of a VM, because the first one to it got
+// no answer before its deadline.
+func TestOverdueFirstRequestIsForgotten(t *testing.T) {
+	mem := &member{
+		upstream: &fpstate.Upstream{
+			Concurrency: 4,
+		},
+	}
+	now := time.Now()
+	mem.recordOverdue(now, time.Second)
+	if got := mem.state(now.Add(20 * time.Second)).expectedTime(); got > 2*defaultMeanTime {
+		t.Errorf("20 s after a request without an answer in 1 s, the expected time is %v", got)
+	}
+}
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -375,7 +375,8 @@
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
 	if mem.answers == 0 {
-		mem.mean = took
+		// Only the excess decays. The owner of a key with a mean above the deadline would get no request by which to lower it.
+		mem.mean = defaultMeanTime
 		mem.answers = 1
 	}
 	excess := time.Duration(float64(mem.excess) * decay(now.Sub(mem.overdueAt), silenceHalfLife))
