fpworker: refuse a grant that is late by its fence, also after a release

The proxy delivered the old grant later, and the stand-in took it, because it compared fences only with what it held.

The stand-in now remembers the fences that it has seen. No check changes.

--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -95,6 +95,8 @@
 	rests    []string
 	leaving  []string
 	holdings []holding
+	// seen are the ranges of all grants and releases, with their fences. A grant with a lower fence than one seen on its keys is late.
+	seen     []holding
 	sequence uint64
 	server   *http.Server
 }
@@ -245,21 +247,20 @@
 	return false
 }
 
-// executeOrder executes a grant or a release. It answers a grant with status 409 if it holds keys of the range with a newer
-// fence.
+// executeOrder executes a grant or a release. It answers a grant with status 409 if it has seen a newer fence on keys of the range.
 func (wor *Worker) executeOrder(wri http.ResponseWriter, ord platform.Order) {
 	wor.mutex.Lock()
 	defer wor.mutex.Unlock()
+	if !wor.see(ord) {
+		wri.WriteHeader(http.StatusConflict)
+		return
+	}
 	var remaining []holding
 	for _, hol := range wor.holdings {
 		if hol.last < ord.Range.GetFirst() || hol.first > ord.Range.GetLast() {
 			remaining = append(remaining, hol)
 			continue
 		}
-		if !ord.Release && hol.fence > ord.Range.GetFence() {
-			wri.WriteHeader(http.StatusConflict)
-			return
-		}
 		if hol.first < ord.Range.GetFirst() {
 			subrange := hol
 			subrange.last = ord.Range.GetFirst() - 1
@@ -285,6 +286,28 @@
 	wri.WriteHeader(http.StatusOK)
 }
 
+// see records the range and the fence of an order. It returns false for a grant with a lower fence than one that was seen on its keys.
+// The caller holds the mutex.
+func (wor *Worker) see(ord platform.Order) bool {
+	next := holding{
+		first: ord.Range.GetFirst(),
+		last:  ord.Range.GetLast(),
+		fence: ord.Range.GetFence(),
+	}
+	var kept []holding
+	for _, old := range wor.seen {
+		overlaps := old.first <= next.last && next.first <= old.last
+		if overlaps && old.fence > next.fence && !ord.Release {
+			return false
+		}
+		if old.first < next.first || old.last > next.last || old.fence > next.fence {
+			kept = append(kept, old)
+		}
+	}
+	wor.seen = append(kept, next)
+	return true
+}
+
 // Hold makes the worker hold a range of keys without a grant, with fence 0.
 func (wor *Worker) Hold(first, last uint32, length time.Duration) {
 	wor.mutex.Lock()
