fpforward: a VM that knows the rate of an upstream keeps it for requests that it has relayed, too

Cause: only the VM that sends counted a relayed request in the rate. One that has not heard of the rate lets all pass until its first answer, and the VM that asked it knew better. By reading; the test shows the same.

Change: both take a token. A relayed request to a limited upstream uses two of the leader's, which errs on the upstream's side.

Measured: TestRelayKeepsNamedRate failed before (14 requests at once, want 3) and passes.

--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -232,6 +232,16 @@
 	if cho.state.path == pathSuspect {
 		exc.fwd.startCheck(mem)
 	}
+	// The peer keeps the rate of the upstream, too, but may not have heard of it.
+	if err := exc.takeRate(ctx, cho); err != nil {
+		return nil, err
+	}
+	sent := false
+	defer func() {
+		if !sent {
+			exc.fwd.rates.Return(mem.rateKey(), !exc.lowPriority)
+		}
+	}()
 	pol := exc.fwd.peerPools.pool(pee)
 	con := pol.Get(time.Now())
 	if con == nil {
@@ -266,6 +276,7 @@
 		exc.runs--
 		return nil, err
 	}
+	sent = true
 	exc.tried[mem] = true
 	if rep != nil {
 		exc.countAnswer(rep)
--- a/internal/route/fpforward/relay_test.go
+++ b/internal/route/fpforward/relay_test.go
@@ -276,3 +276,29 @@
 		t.Error("the upstream is held down on the relaying VM")
 	}
 }
+
+// TestRelayKeepsNamedRate guards against requests beyond the rate that an upstream names, because a VM that knows of it sends them through
+// one that has not heard of it.
+func TestRelayKeepsNamedRate(t *testing.T) {
+	par := newRelayPair(t)
+	wor := par.addWorker("work", nil)
+	wor.NameRate("0.5")
+	par.paths.Cut(fpcut.Refused, nil)
+	if status := par.get(par.harness, "/safe/"); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	mem := par.helper.forward.view.Load().active[incarnation{
+		id:   wor.Upstream().GetId(),
+		born: 1,
+	}]
+	par.helper.forward.rates.Forget(mem.rateKey())
+	before := wor.Arrivals()
+	var wgr sync.WaitGroup
+	for range 20 {
+		wgr.Go(func() { par.get(par.harness, "/once/") })
+	}
+	wgr.Wait()
+	if got := wor.Arrivals() - before; got > 3 {
+		t.Errorf("%d requests reached an upstream that takes one in 2 s", got)
+	}
+}
