--- a/internal/bench/fpworker/worker_test.go
+++ b/internal/bench/fpworker/worker_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
+	"time"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // TestLateGrantIsRefused guards against a grant that takes effect after the keys were released and given to another worker under a newer
@@ -18,25 +19,42 @@
 		},
 		Keyed: true,
 	})
-	order := func(path, body string) int {
-		rec := httptest.NewRecorder()
-		wor.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
-		return rec.Code
+	if err := wor.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(wor.Close)
+	snd := &platform.OrderSender{
+		Client: &http.Client{
+			Timeout: time.Second,
+		},
 	}
 	for _, one := range []struct {
-		path, body string
-		want       int
+		release     bool
+		first, last uint32
+		fence       uint64
+		refused     bool
 	}{
-		{path: "/grant", body: `{"from":0,"target":99,"fence":2,"hold_time":"4s"}`, want: http.StatusOK},
-		{path: "/grant", body: `{"from":0,"target":99,"fence":5,"hold_time":"4s"}`, want: http.StatusOK},
-		{path: "/release", body: `{"from":0,"target":99,"fence":5}`, want: http.StatusOK},
-		{path: "/grant", body: `{"from":50,"target":99,"fence":2,"hold_time":"4s"}`, want: http.StatusConflict},
-		{path: "/grant", body: `{"from":50,"target":150,"fence":6,"hold_time":"4s"}`, want: http.StatusOK},
-		{path: "/grant", body: `{"from":100,"target":120,"fence":4,"hold_time":"4s"}`, want: http.StatusConflict},
-		{path: "/grant", body: `{"from":200,"target":300,"fence":1,"hold_time":"4s"}`, want: http.StatusOK},
+		{first: 0, last: 99, fence: 2},
+		{first: 0, last: 99, fence: 5},
+		{release: true, first: 0, last: 99, fence: 5},
+		{first: 50, last: 99, fence: 2, refused: true},
+		{first: 50, last: 150, fence: 6},
+		{first: 100, last: 120, fence: 4, refused: true},
+		{first: 200, last: 300, fence: 1},
 	} {
-		if got := order(one.path, one.body); got != one.want {
-			t.Errorf("%s %s: status %d, want %d", one.path, one.body, got, one.want)
+		ran := &fpstate.Range{
+			First: one.first,
+			Last:  one.last,
+			Fence: one.fence,
+		}
+		var err error
+		if one.release {
+			_, err = snd.Release(t.Context(), wor.Upstream(), ran)
+		} else {
+			err = snd.Grant(t.Context(), wor.Upstream(), ran, 4*time.Second)
+		}
+		if refused := fperror.Is(err, fperror.UpstreamFenced); refused != one.refused || err != nil && !refused {
+			t.Errorf("%+v: got %v", one, err)
 		}
 	}
 }
