--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -51,33 +50,33 @@
 
 var zones = []string{"caerdydd", "bangor", "abertawe", "wrecsam"}
 
-// FreeAddress returns a loopback address with a free port. The ports are below those that the system gives to outgoing connections,
-// so that none is taken before a process listens on it.
-func FreeAddress() (string, error) {
-	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
-		portsMutex.Lock()
-		known := ports[address]
-		ports[address] = true
-		portsMutex.Unlock()
-		if known {
-			continue
-		}
-		lis, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		return address, lis.Close()
-	}
-	return "", errors.New("no free port was found")
-}
+const (
+	// firstPort and portBlocks give the ports of all runs, which are below those that the system gives to outgoing connections.
+	// Each run begins at a block of its own, so that runs side by side don't get the same ones.
+	firstPort  = 10000
+	portBlocks = 190
+	blockSize  = 100
+)
 
-// ports are the addresses that FreeAddress has tried.
 var (
 	portsMutex sync.Mutex
-	ports      = map[string]bool{}
+	nextPort   = os.Getpid() % portBlocks * blockSize
 )
 
+// FreeAddress returns a loopback address with a free port.
+func FreeAddress() (string, error) {
+	portsMutex.Lock()
+	defer portsMutex.Unlock()
+	for range portBlocks * blockSize {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort%(portBlocks*blockSize))
+		nextPort++
+		if lis, err := net.Listen("tcp", address); err == nil {
+			return address, lis.Close()
+		}
+	}
+	return "", errors.New("no port is free")
+}
+
 func must(text string, err error) string {
 	if err != nil {
 		panic(err)
--- a/review/fleet/worker.go
+++ b/review/fleet/worker.go
@@ -54,6 +54,8 @@
 	// Work is how long a request runs.
 	Work   func(req *http.Request) time.Duration
 	Record *Record
+	// Listen, if not nil, listens on the address in place of net.Listen.
+	Listen func(address string) (net.Listener, error)
 	// OnRequest, if not nil, answers a request in place of the worker's own handler.
 	OnRequest func(wri http.ResponseWriter, req *http.Request)
 
@@ -79,7 +81,11 @@
 	}
 	wor.Born = time.Now().UnixMilli()
 	wor.running = make(chan struct{}, wor.Slots)
-	lis, err := net.Listen("tcp", wor.Address)
+	listen := wor.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	lis, err := listen(wor.Address)
 	if err != nil {
 		return err
 	}
