--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
+# Writes what was sent, answered and run to record.txt beside this script. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/foxtailpulley ] && [ -x review/bin/strangeheartbeat ] || { echo "build first: the deploy file's build command and review/build.sh" >&2; exit 2; }
 exec review/bin/strangeheartbeat "review/1"
