--- a/internal/control/fpkeeper/incarnation.go
+++ b/internal/control/fpkeeper/incarnation.go
@@ -48,10 +48,11 @@
 	return last
 }
 
-// addressTaken reports whether the incarnation that holds a range has ended because a later one has its address under another id. holder
-// is the result of Keeper.holder. The later one holds none of the keys, because it refuses orders for another id.
-func addressTaken(vie View, ran *fpstate.Range, holder *fpstate.Upstream) bool {
-	if holder == nil {
+// addressTaken reports whether the incarnation that holds a range has ended because a later one has its address under another id, and
+// has refused an order for it. holder is the result of Keeper.holder. The later one holds none of the keys, because it refuses all
+// orders for another id.
+func (kee *Keeper) addressTaken(vie View, ran *fpstate.Range, holder *fpstate.Upstream) bool {
+	if holder == nil || !kee.misdirected[incarnationOf(ran)] {
 		return false
 	}
 	other := vie.AtAddress(holder.GetAddress())
--- a/internal/control/fpkeeper/incarnation_test.go
+++ b/internal/control/fpkeeper/incarnation_test.go
@@ -34,12 +34,20 @@
 }
 
 // TestIncarnationEndedAtItsAddress guards against keys that wait for the end of a hold though a later incarnation at the address of
-// their holder, under its id or another one, proves that the holder has ended. An address has one upstream at a time.
+// their holder, under its id or another one, proves that the holder has ended: one under another id refuses an order for the holder.
 func TestIncarnationEndedAtItsAddress(t *testing.T) {
 	for _, id := range []string{"one", "three"} {
 		har := newHarness(t, "one", "two")
 		har.serveAll()
 		har.startAgain(id, "one")
+		for range 2 {
+			for _, ord := range har.plan() {
+				har.finish(ord, Result{
+					Answered:    ord.Upstream.GetAddress() != "one",
+					Misdirected: ord.Upstream.GetAddress() == "one" && ord.Upstream.GetId() != id,
+				})
+			}
+		}
 		har.plan()
 		if har.heldByFirst() {
 			t.Errorf("the keys stay with an incarnation whose address upstream %s has", id)
@@ -47,6 +55,34 @@
 	}
 }
 
+// TestAnnouncementAtAddressOfHolder guards against a second holder: an announcement of another writer names the address of an upstream
+// that holds keys, and they go on although it still answers there, or although nothing is known of it.
+func TestAnnouncementAtAddressOfHolder(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		har := newHarness(t, "one", "two")
+		har.serveAll()
+		granted := har.now
+		har.startAgain("three", "one")
+		released := false
+		for har.now.Before(granted.Add(DefaultHold)) {
+			for _, ord := range har.plan() {
+				ofHolder := ord.Upstream.GetId() == "one"
+				released = released || ofHolder && answers && ord.Action == Release
+				har.finish(ord, Result{
+					Answered: !ofHolder || answers,
+				})
+			}
+			if !released && !har.heldByFirst() {
+				t.Fatalf("answers %t: the keys went on %v after the last grant, and without a release", answers, har.now.Sub(granted))
+			}
+			har.now = har.now.Add(100 * time.Millisecond)
+		}
+		if answers && har.heldByFirst() {
+			t.Error("the keys stay with an upstream that has given them back")
+		}
+	}
+}
+
 // TestIncarnationStartedElsewhere guards against a second holder: an upstream that is paused or cut off was started again under its id
 // at another address, and the keys of its first incarnation go on at once, or a grant for them goes to the second one under their
 // fence.
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -19,8 +19,9 @@
 //     a new connection (Order.Proof).
 //
 // A range may go to another upstream after its expiry, after the first release was answered and its uncertainty has ended,
-// or when a later incarnation is known at the holder's address under another id, because it refuses the grants of the holder.
-// A later incarnation at that address under the same id accepts them, so the range goes to this incarnation. One at another
+// or when a later incarnation is known at the holder's address under another id, and has refused an order for the holder
+// (Result.Misdirected). The announcement alone proves nothing, because anyone may send it; the holder is then asked for a release.
+// A later incarnation at that address under the same id accepts the orders, so the range goes to this incarnation. One at another
 // address doesn't prove that the holder has ended. While a release without an answer may still take effect, the answer to
 // another one of the same keys is no proof. A grant is sent only after the change of its range is committed.
 //
@@ -94,6 +95,8 @@
 	Fenced bool
 	// NotSent states that no connection could be opened, and the order had no effect.
 	NotSent bool
+	// Misdirected states that another upstream answered at the address and refused the order.
+	Misdirected bool
 	// Withheld states that the order was not sent because the leader could not confirm its leader lease. It says nothing
 	// about the upstream.
 	Withheld bool
@@ -219,6 +222,8 @@
 	successions map[string][]succession
 	// holders holds the last announcements of the incarnations that hold ranges, or have held some.
 	holders map[incarnation]*fpstate.Upstream
+	// misdirected holds the incarnations at whose address another upstream has refused an order.
+	misdirected map[incarnation]bool
 	// pending holds the last change of each service until its outcome is known.
 	pending map[string]*pendingChange
 	audit   holdAudit
@@ -252,6 +257,7 @@
 		holdDowns:        map[incarnation]*holdDown{},
 		signsOfLife:      map[incarnation]time.Time{},
 		holders:          map[incarnation]*fpstate.Upstream{},
+		misdirected:      map[incarnation]bool{},
 		pending:          map[string]*pendingChange{},
 		audit: holdAudit{
 			holds: map[string][]hold{},
@@ -279,6 +285,10 @@
 	if res.Answered {
 		kee.signsOfLife[incarnationOf(ord.Range)] = now
 	}
+	if res.Misdirected {
+		kee.misdirected[incarnationOf(ord.Range)] = true
+		res.NotSent = !res.Uncertain // its upstream did not get it
+	}
 	if ord.Action == Grant {
 		kee.handleGrantResult(now, ord, res, tas)
 		return
@@ -401,7 +411,7 @@
 		holder := kee.holder(vie, ran)
 		successor := successorOf(vie, ran, holder)
 		switch {
-		case ran.GetUpstream() == "" || addressTaken(vie, ran, holder):
+		case ran.GetUpstream() == "" || kee.addressTaken(vie, ran, holder):
 			kee.audit.ended(now, vie.Service, ran, kee.latestExpiry(now))
 			assigned = append(assigned, kee.assign(now, vie, ran, "")...)
 		case canSucceed(vie.Service, successor):
--- a/internal/control/fpkeeper/pending.go
+++ b/internal/control/fpkeeper/pending.go
@@ -114,7 +114,7 @@
 		if ran.GetPhase() == fpstate.Phase_PHASE_RELEASING {
 			act = Release
 		}
-		ended := addressTaken(vie, ran, holder) || canSucceed(vie.Service, successorOf(vie, ran, holder))
+		ended := kee.addressTaken(vie, ran, holder) || canSucceed(vie.Service, successorOf(vie, ran, holder))
 		if holder == nil || ended || !pen.permits(now, act, ran, kee.cfg.Renewal) {
 			continue
 		}
--- a/internal/node/fpcontrol/calls.go
+++ b/internal/node/fpcontrol/calls.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return fperror.Wrap(fperror.Internal, err, "marshal a command")
 	}
-	err = con.commit(ctx, buf)
+	err = con.commit(ctx, com, buf)
 	if !fperror.Is(err, fperror.NotLeader) {
 		return err
 	}
@@ -49,7 +49,7 @@
 	if err != nil {
 		return fperror.Wrap(fperror.Internal, err, "marshal a command")
 	}
-	return con.commit(ctx, buf)
+	return con.commit(ctx, com, buf)
 }
 
 // proposeInTerm commits a command if this VM leads in a term. It waits for callTimeout at most.
@@ -66,19 +66,27 @@
 	return con.proposeHere(ctx, com)
 }
 
-// commit commits a command if this VM leads. While the group has fewer voters than it needs to tolerate the configured
-// losses, commit fails with an error of kind NoQuorum, because an acknowledged command could be lost.
-func (con *Control) commit(ctx context.Context, command []byte) error {
+// commit commits a command, which is given with its marshaled form, if this VM leads. While the group has fewer voters than it
+// needs to tolerate the configured losses, commit fails with an error of kind NoQuorum, because an acknowledged command could be
+// lost. An announcement that admitAnnouncement refuses is not committed.
+func (con *Control) commit(ctx context.Context, com *fpstate.Command, marshaled []byte) error {
 	voters := 0
 	for _, mst := range con.group.Status().Members {
 		if !mst.Learner {
 			voters++
 		}
 	}
-	if con.leads(ctx) && voters < con.wantedVoters() {
-		return fperror.New(fperror.NoQuorum, "%d voters cannot tolerate the loss of %d", voters, con.cfg.Losses)
+	if con.leads(ctx) {
+		if voters < con.wantedVoters() {
+			return fperror.New(fperror.NoQuorum, "%d voters cannot tolerate the loss of %d", voters, con.cfg.Losses)
+		}
+		if ups := com.GetAnnounce(); ups != nil {
+			if err := con.admitAnnouncement(ctx, ups); err != nil {
+				return err
+			}
+		}
 	}
-	_, _, err := con.proposeCommand(ctx, command)
+	_, _, err := con.proposeCommand(ctx, marshaled)
 	return err
 }
 
@@ -130,8 +138,11 @@
 }
 
 // announce records an announcement of an upstream. It returns once the control VMs have committed what is new in it. The
-// returned address is always empty.
+// returned address is always empty. The error is of kind NoUpstream if the announcement contradicts a running upstream.
 func (con *Control) announce(ctx context.Context, ups *fpstate.Upstream, sequence uint64) (string, error) {
+	if err := con.checkAnnouncement(ups); err != nil {
+		return "", err
+	}
 	if !con.announcements.record(ups, sequence) {
 		return "", nil
 	}
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -94,6 +94,8 @@
 	metrics       metrics
 	// proposeCommand is group.Propose; tests replace it.
 	proposeCommand func(ctx context.Context, command []byte) (fpgroup.Position, []byte, error)
+	// probe reports whether an upstream has ended because another one answers at its address; tests replace it.
+	probe func(ctx context.Context, ups *fpstate.Upstream, healthPath string) (ended bool, err error)
 	// rates holds the request rates that upstreams have named for all entry VMs together.
 	rates *fprate.Pool
 	// relays holds the entry VMs that can relay requests for others.
@@ -134,6 +136,7 @@
 		leaderChange:   make(chan struct{}),
 	}
 	con.orders = newOrderSender(con.observeOrderAnswer)
+	con.probe = con.orders.fresh.HasEnded
 	con.service = &service{
 		con: con,
 	}
--- a/internal/node/fpcontrol/orders.go
+++ b/internal/node/fpcontrol/orders.go
@@ -139,6 +139,7 @@
 	res.Answered = err == nil
 	res.Fenced = fperror.Is(err, fperror.UpstreamFenced)
 	res.NotSent = fperror.Is(err, fperror.ConnectFailed)
+	res.Misdirected = fperror.Is(err, fperror.NoUpstream)
 	return res, err
 }
 
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
@@ -200,7 +201,11 @@
 
 // Propose commits a command if this VM leads. Otherwise, the response states that the command is not committed.
 func (ser *service) Propose(ctx context.Context, req *connect.Request[fpstate.ProposeRequest]) (*connect.Response[fpstate.ProposeResponse], error) {
-	err := ser.con.commit(ctx, req.Msg.GetCommand())
+	com := &fpstate.Command{}
+	if err := proto.Unmarshal(req.Msg.GetCommand(), com); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	err := ser.con.commit(ctx, com, req.Msg.GetCommand())
 	if err != nil && !fperror.Is(err, fperror.NotLeader) {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
