fpcontrol: leave a tombstone of an upstream that departs before it is known

Cause: a departure of an incarnation that is not known had no effect on the state and was acknowledged.

Change: after it has committed a departure without effect, the leader commits a placeholder for the announcement and the departure again, and acknowledges after that.

--- a/internal/control/fpdirectory/directory.go
+++ b/internal/control/fpdirectory/directory.go
@@ -136,6 +136,28 @@
 	return true
 }
 
+// UnknownDeparture returns the commands that leave a tombstone of an incarnation that has departed before it is known: a placeholder
+// for its announcement, which gets neither requests nor orders, and the departure. Earlier builds apply them alike.
+func UnknownDeparture(dep *fpstate.Departure) []*fpstate.Command {
+	return []*fpstate.Command{
+		{
+			Body: &fpstate.Command_Announce{
+				Announce: &fpstate.Upstream{
+					Id:      dep.GetId(),
+					Born:    dep.GetBorn(),
+					Address: dep.GetId(), // of no other upstream
+					Leaving: true,
+				},
+			},
+		},
+		{
+			Body: &fpstate.Command_Depart{
+				Depart: dep,
+			},
+		},
+	}
+}
+
 // recordRemoval replaces an upstream by a tombstone. Beyond maxTombstones, it deletes the oldest tombstone.
 func (dir *Directory) recordRemoval(index uint64, old *fpstate.Upstream) {
 	tombstone := proto.CloneOf(old)
--- a/internal/control/fpdirectory/directory_test.go
+++ b/internal/control/fpdirectory/directory_test.go
@@ -1,6 +1,7 @@
 package fpdirectory
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -232,3 +233,48 @@
 		}
 	})
 }
+
+// TestUnknownDeparture guards against an upstream that comes back because its first announcement is applied after, or between, the entries
+// of its departure, and against an unbounded number of tombstones.
+func TestUnknownDeparture(t *testing.T) {
+	for at := range 3 {
+		app := &applier{
+			test: t,
+			dir:  New(),
+		}
+		app.announce("one", 10, "a", false)
+		for pos, com := range UnknownDeparture(&fpstate.Departure{
+			Id:   "one",
+			Born: 20,
+		}) {
+			if at == pos {
+				app.announce("one", 20, "b", false)
+			}
+			app.run(com)
+		}
+		app.announce("one", 20, "b", false)
+		app.announce("one", 10, "a", false)
+		if got := app.dir.Upstream("one"); got.GetBorn() != 20 || !got.GetGone() {
+			t.Errorf("an announcement before entry %d: got %v", at, got)
+		}
+		app.announce("one", 30, "b", false)
+		if got := app.dir.AtAddress("b"); got.GetBorn() != 30 {
+			t.Errorf("the next incarnation is %v", got)
+		}
+	}
+	app := &applier{
+		test: t,
+		dir:  New(),
+	}
+	for num := range 2 * maxTombstones {
+		for _, com := range UnknownDeparture(&fpstate.Departure{
+			Id:   fmt.Sprint(num),
+			Born: 1,
+		}) {
+			app.run(com)
+		}
+	}
+	if sta, _ := app.dir.Since(0); len(sta.GetUpstreams()) != maxTombstones {
+		t.Errorf("got %d tombstones, want %d", len(sta.GetUpstreams()), maxTombstones)
+	}
+}
--- a/internal/node/fpcontrol/calls.go
+++ b/internal/node/fpcontrol/calls.go
@@ -68,7 +68,8 @@
 
 // commit commits a command, which is given with its marshaled form, if this VM leads. While the group has fewer voters than it
 // needs to tolerate the configured losses, commit fails with an error of kind NoQuorum, because an acknowledged command could be
-// lost. An announcement that admitAnnouncement refuses is not committed.
+// lost. An announcement that admitAnnouncement refuses is not committed. A departure is complete once the incarnation is known to
+// have left, so that its late announcements have no effect.
 func (con *Control) commit(ctx context.Context, com *fpstate.Command, marshaled []byte) error {
 	voters := 0
 	for _, mst := range con.group.Status().Members {
@@ -87,9 +88,30 @@
 		}
 	}
 	_, _, err := con.proposeCommand(ctx, marshaled)
+	if dep := com.GetDepart(); dep != nil && err == nil {
+		err = con.completeDeparture(ctx, dep)
+	}
 	return err
 }
 
+// completeDeparture leaves a tombstone of an incarnation whose committed departure had no effect, because its first announcement
+// has not arrived yet.
+func (con *Control) completeDeparture(ctx context.Context, dep *fpstate.Departure) error {
+	if known := con.directory.Upstream(dep.GetId()); dep.GetBorn() == 0 || known.GetBorn() >= dep.GetBorn() {
+		return nil
+	}
+	for _, com := range fpdirectory.UnknownDeparture(dep) {
+		buf, err := proto.Marshal(com)
+		if err != nil {
+			return fperror.Wrap(fperror.Internal, err, "marshal a command")
+		}
+		if _, _, err := con.proposeCommand(ctx, buf); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // put checks a configuration and commits it. A configuration whose revision is not higher than the newest one is
 // acknowledged without effect.
 func (con *Control) put(ctx context.Context, cfg *fpstate.Configuration) error {
@@ -171,7 +193,7 @@
 	return "", err
 }
 
-// depart removes an upstream. It returns once the control VMs have committed that. Born 0 stands for the incarnation that is known
+// depart removes an upstream. It returns once the control VMs have committed that, also if they don't know it yet. Born 0 stands for the incarnation that is known
 // here. If there is none, only the leader takes the call: a departure of any incarnation that reaches the leader late could remove
 // the next one.
 func (con *Control) depart(ctx context.Context, id string, born uint64) error {
--- a/internal/node/fpcontrol/departure_test.go
+++ b/internal/node/fpcontrol/departure_test.go
@@ -127,3 +127,28 @@
 		}
 	}
 }
+
+// TestDepartureBeforeFirstAnnouncement guards against an upstream that comes back after its departure was acknowledged: its first
+// announcement arrives later, at a VM that knows nothing of the incarnation, or only an earlier one. The next incarnation gets in at once.
+func TestDepartureBeforeFirstAnnouncement(t *testing.T) {
+	clu := newCluster(t, 3)
+	clu.waitForVoters(3)
+	for num, vm := range clu.seeds {
+		born := uint64(10 * (num + 1))
+		clu.waitFor("the departure is accepted", func() bool { return clu.operator.Depart(t.Context(), vm, "one", born) == nil })
+		for _, at := range clu.seeds {
+			clu.announceIncarnation(at, born)
+		}
+		clu.waitForIncarnation(born)
+		for _, run := range clu.vms {
+			if got := run.control.directory.Upstream("one"); !got.GetGone() {
+				t.Errorf("after the departure of incarnation %d at VM %s, VM %s has %v", born, vm, run.control.cfg.VM, got)
+			}
+		}
+		clu.announceIncarnation(vm, born+1)
+		clu.waitForIncarnation(born + 1)
+		if got := clu.vms[vm].control.directory.Upstream("one"); got.GetGone() || got.GetAddress() != "127.0.0.1:1" {
+			t.Errorf("the next incarnation is %v", got)
+		}
+	}
+}
