fpsoak: foreign announcements, and addresses that are used again at once

Change: the soak announces foreign ids and addresses and starts workers at the address of one that has ended; its workers refuse orders and health checks for another id with 421. The draws of the other faults stay the same.

--- a/internal/bench/fpsoak/command.go
+++ b/internal/bench/fpsoak/command.go
@@ -42,6 +42,9 @@
 	Stalls bool
 	// Cuts makes entry VMs lose their paths to all workers, one after the other. Program must follow cuts with FollowCuts.
 	Cuts bool
+	// Foreign makes another writer announce the ids and addresses of running workers, and workers end whose address the next one of
+	// their service gets at once. It has no effect beside another build.
+	Foreign bool
 }
 
 // Command is the command line of the soak, for kong.
@@ -56,6 +59,7 @@
 	Other    string        `help:"Executable of another build, which runs side by side with this one. Restarts change the build of a VM."`
 	Folder   string        `help:"Folder for settings, logs and data; kept for seeds that fail. Default: a temporary one."`
 	NoStalls bool          `help:"Leave out stalls of disks, which only the build fpsoakvm has."`
+	Foreign  bool          `help:"Announce the ids and addresses of running workers, and use addresses of ended ones again at once."`
 	// Stalls and Cuts are those of Config.
 	Stalls bool `kong:"-"`
 	Cuts   bool `kong:"-"`
@@ -89,6 +93,7 @@
 			KeyedWorkers: com.Keyed,
 			Stalls:       com.Stalls && !com.NoStalls,
 			Cuts:         com.Cuts,
+			Foreign:      com.Foreign,
 		})
 		if err != nil {
 			return err
@@ -218,6 +223,10 @@
 	if !fle.plannedStopsOnly {
 		group.Go(func() { fle.askForRest(faultsCtx) })
 	}
+	if fle.cfg.Foreign && fle.cfg.OtherProgram == "" && !fle.plannedStopsOnly {
+		group.Go(func() { fle.announceForeign(faultsCtx) })
+		group.Go(func() { fle.reuseAddresses(faultsCtx) })
+	}
 	if fle.cfg.Cuts && !fle.plannedStopsOnly {
 		group.Go(func() { fle.cutEntryPaths(faultsCtx) })
 	}
--- a/internal/bench/fpsoak/fleet.go
+++ b/internal/bench/fpsoak/fleet.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -192,10 +193,18 @@
 // addWorker starts a worker behind a proxy. The worker announces the address of the proxy until it is removed or leaves, also after ctx,
 // which is that of the faults, has ended.
 func (fle *fleet) addWorker(ctx context.Context, service string) error {
+	return fle.addWorkerAt(ctx, service, "")
+}
+
+// addWorkerAt is addWorker with the address of the proxy, or "" for a new one.
+func (fle *fleet) addWorkerAt(ctx context.Context, service, address string) error {
 	fle.mutex.Lock()
 	fle.lastIncarnation++
 	incarnation := fle.lastIncarnation
 	fle.mutex.Unlock()
+	if address == "" {
+		address = net.JoinHostPort(proxyAddress(incarnation), "0")
+	}
 	wor := fpworker.New(fpworker.Config{
 		Upstream: &fpstate.Upstream{
 			Id:          fmt.Sprintf("%s-%d", service, incarnation),
@@ -212,7 +221,7 @@
 	if err := wor.Listen(); err != nil {
 		return err
 	}
-	pro, err := newProxy(proxyAddress(incarnation), wor.Upstream().GetAddress())
+	pro, err := newProxy(address, wor.Upstream().GetAddress())
 	if err != nil {
 		return fperror.Wrap(fperror.Internal, err, "start a proxy")
 	}
@@ -274,8 +283,10 @@
 		route("safe", "safe", "work"), route("once", "unsafe", "work"), route("keyed", "unsafe", "keys"),
 		route(fmt.Sprintf("revision-%d", revision), "safe", "work"),
 	}
-	return json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"work","max_conns":100},{"name":"keys","max_conns":100,"sharded":true}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3s","idle_timeout":"15s"}}`, revision, strings.Join(routes, ",")))
+	return json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[%s],
+		"services":[{"name":"work","health_path":%q,"max_conns":100},{"name":"keys","health_path":%q,"max_conns":100,"sharded":true}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3s","idle_timeout":"15s"}}`,
+		revision, strings.Join(routes, ","), fpworker.HealthPath, fpworker.HealthPath))
 }
 
 // putRevision sends the next revision to one control VM after the other until one accepts it. It returns false after length.
--- a/internal/bench/fpsoak/proxy.go
+++ b/internal/bench/fpsoak/proxy.go
@@ -32,9 +32,9 @@
 	conns map[net.Conn]bool
 }
 
-// newProxy returns a proxy that listens on a free port of a loopback address.
+// newProxy returns a proxy that listens on a loopback address with a port; port 0 stands for a free one.
 func newProxy(address, target string) (*proxy, error) {
-	lis, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
+	lis, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/fpsoak/soak_test.go
+++ b/internal/bench/fpsoak/soak_test.go
@@ -56,6 +56,22 @@
 	})
 }
 
+// TestShortSoakForeign guards against two upstreams that hold the same keys after another writer has announced the id or the address of a
+// running upstream, and against keys without an owner after an address is used again.
+func TestShortSoakForeign(t *testing.T) {
+	runShortSoak(t, Config{
+		Program:      buildProgram(t),
+		Folder:       t.TempDir(),
+		Seed:         1,
+		Length:       8 * time.Second,
+		Controls:     controlCount,
+		Entries:      2,
+		Workers:      2,
+		KeyedWorkers: 6,
+		Foreign:      true,
+	})
+}
+
 // TestFollowCuts guards against a soak whose entry VMs lose no paths: a new connection must not open during a cut.
 func TestFollowCuts(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -212,11 +212,23 @@
 	return len(wor.rests) > 0
 }
 
-// ServeHTTP implements http.Handler. It handles orders of control VMs and requests.
+// HealthPath is the path of the health check.
+const HealthPath = "/health"
+
+// ServeHTTP implements http.Handler. It handles orders of control VMs, health checks and requests, and refuses those for other upstreams.
 func (wor *Worker) ServeHTTP(wri http.ResponseWriter, req *http.Request) {
-	if ord, ok := platform.DecodeOrder(req); ok {
+	target := platform.DecodeTarget(req.Header)
+	misdirected := target != "" && target != wor.cfg.Upstream.GetId()
+	ord, isOrder := platform.DecodeOrder(req)
+	switch {
+	case (isOrder || req.URL.Path == HealthPath) && misdirected:
+		wri.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case isOrder:
 		wor.executeOrder(wri, ord)
 		return
+	case req.URL.Path == HealthPath:
+		return
 	}
 	info := platform.DecodeRequest(req.Header)
 	wor.mutex.Lock()
@@ -225,7 +237,7 @@
 		At:      time.Now(),
 	})
 	wor.mutex.Unlock()
-	if target := platform.DecodeTarget(req.Header); target != "" && target != wor.cfg.Upstream.GetId() || !wor.mayRun(info) {
+	if misdirected || !wor.mayRun(info) {
 		wor.refuse(wri, info, http.StatusMisdirectedRequest)
 		return
 	}
