fpnode, fphealth, fpserve: bound what is read of an upstream's answer

Operators of similar systems saw a VM run out of memory because a faulty worker answered without end (processes that end by themselves).

Cause: the clients of the contract in the path of calls (grants, cancellations) read whole answers without a limit, and readings of health and load took heads of up to 10 MiB. Requests and the orders of control VMs were bounded already.

Change: 64 KiB for answers to calls of the contract and for heads. The limit for cancellations has no test of its own.

--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -209,8 +209,8 @@
 	}
 }
 
-// TestEndlessAnswersToOrdersAreBounded guards against answers with an endless header or body that use up the memory of a
-// control VM or delay its orders.
+// TestEndlessAnswersToOrdersAreBounded guards against answers with an endless header or body, to orders or probes, that use up the memory
+// of a control VM or delay its orders.
 func TestEndlessAnswersToOrdersAreBounded(t *testing.T) {
 	const (
 		processBytes = 280 << 20 // memory of a control VM
@@ -264,6 +264,9 @@
 			}
 			group.Wait()
 			runtime.ReadMemStats(&after)
+			if ended, _ := snd.fresh.HasEnded(ctx, ups.order().Upstream, ""); ended {
+				t.Error("an endless answer to a probe counts as that of another upstream")
+			}
 			if took := time.Since(began); took > grantTimeout+slack {
 				t.Errorf("the orders took %v, want at most %v", took, grantTimeout)
 			}
--- a/internal/node/fpnode/granter.go
+++ b/internal/node/fpnode/granter.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailpulley/foxtailpulley/api/upstream/fpcontract/fpcontractconnect"
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fppeer"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -83,7 +84,7 @@
 	defer gra.mutex.Unlock()
 	cli := gra.clients[address]
 	if cli == nil {
-		cli = fpcontractconnect.NewUpstreamServiceClient(gra.client, "http://"+address)
+		cli = fpcontractconnect.NewUpstreamServiceClient(gra.client, "http://"+address, connect.WithReadMaxBytes(fpconn.MaxContractAnswer))
 		gra.clients[address] = cli
 	}
 	return cli
--- a/internal/node/fpnode/node.go
+++ b/internal/node/fpnode/node.go
@@ -28,6 +28,7 @@
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fptls"
 	"github.com/foxtailpulley/foxtailpulley/internal/node/fpvoter"
 	"github.com/foxtailpulley/foxtailpulley/internal/route/fpserve"
+	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fpconn"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpwire"
 )
 
@@ -126,7 +127,7 @@
 // newGranter returns a granter that detects unresponsive connections to upstreams as fast as the forwarding path does.
 func newGranter(set *fpsettings.Settings, prs *fppeer.Peers) *granter {
 	return &granter{
-		client:     newUpstreamClient(set),
+		client:     newUpstreamClient(set.Timings()),
 		peers:      prs,
 		relayVMs:   func(dataCentre string) []string { return otherVMs(set, dataCentre) },
 		clients:    newUpstreamServiceClients(),
@@ -134,18 +135,18 @@
 	}
 }
 
-// newUpstreamClient returns a client for HTTP/2 without TLS, with the timeouts in the settings.
-func newUpstreamClient(set *fpsettings.Settings) *http.Client {
-	tim := set.Timings()
+// newUpstreamClient returns a client for HTTP/2 without TLS, with the timeouts in the settings. It bounds the header of an answer.
+func newUpstreamClient(tim fpsettings.Timings) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: tim.DialTimeout(),
 	}
 	return &http.Client{
 		Transport: &http2.Transport{
-			AllowHTTP:       true,
-			DialTLSContext:  plainTextDialer(dialer),
-			ReadIdleTimeout: tim.ReadIdle(),
-			PingTimeout:     tim.PingTimeout(),
+			AllowHTTP:         true,
+			DialTLSContext:    plainTextDialer(dialer),
+			ReadIdleTimeout:   tim.ReadIdle(),
+			PingTimeout:       tim.PingTimeout(),
+			MaxHeaderListSize: fpconn.MaxAnswerHeader,
 		},
 	}
 }
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -105,6 +105,7 @@
 	cli := fpcontractconnect.NewUpstreamServiceClient(
 		ser.cfg.Pools.Pool(att.target.Upstream),
 		"http://"+att.target.Upstream.GetAddress(),
+		connect.WithReadMaxBytes(fpconn.MaxContractAnswer),
 	)
 	res, err := cli.Cancel(ctx, connect.NewRequest(&fpcontract.CancelRequest{
 		RequestId: att.id,
--- a/internal/upstream/fpconn/pools.go
+++ b/internal/upstream/fpconn/pools.go
@@ -36,6 +36,9 @@
 // without end.
 const MaxAnswerHeader = 64 << 10
 
+// MaxContractAnswer is the maximum size in bytes of an upstream's answer to a call of the contract, such as Grant and Cancel.
+const MaxContractAnswer = 64 << 10
+
 // healthPath is requested on each new connection before the connection is used.
 const healthPath = "/foxtailpulley/health"
 
--- a/internal/upstream/fphealth/prober.go
+++ b/internal/upstream/fphealth/prober.go
@@ -57,9 +57,10 @@
 	if pro.client == nil {
 		pro.client = &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     30 * time.Second,
-				DisableCompression:  true, // the answers are short
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        30 * time.Second,
+				DisableCompression:     true, // the answers are short
+				MaxResponseHeaderBytes: fpconn.MaxAnswerHeader,
 			},
 		}
 	}
--- a/internal/upstream/fphealth/prober_test.go
+++ b/internal/upstream/fphealth/prober_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/upstream/fphealth"
@@ -73,3 +74,37 @@
 		last = answer
 	}
 }
+
+// TestEndlessHeaderOfReadingIsBounded guards against the header of a reading without end that uses up the memory of an entry VM, which
+// probes hundreds of upstreams.
+func TestEndlessHeaderOfReadingIsBounded(t *testing.T) {
+	const maxSent = 1 << 20 // with the buffers of both sockets
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	sent := make(chan int, 1)
+	go func() {
+		con, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = con.Close() }()
+		_ = con.(*net.TCPConn).SetWriteBuffer(1 << 16)
+		count, err := io.WriteString(con, "HTTP/1.1 200 OK\r\nX: ")
+		for piece := strings.Repeat("x", 4096); err == nil; {
+			var num int
+			num, err = io.WriteString(con, piece)
+			count += num
+		}
+		sent <- count
+	}()
+	pro := fphealth.NewProber(fphealth.ProberConfig{})
+	if _, err := pro.Health(t.Context(), lis.Addr().String()); err == nil {
+		t.Error("an endless header counts as a reading")
+	}
+	if count := <-sent; count > maxSent {
+		t.Errorf("the prober took %d KiB of a header without end, want at most %d KiB", count>>10, maxSent>>10)
+	}
+}
