fpcontrol: follow no redirect of an upstream

An order or a probe that a faulty upstream answers with a redirect went to the address that it named, and the answer from there counted as that of the upstream: keys could go on although their holder had not released them (rule OWNER).

Cause: net/http follows redirects by default, with the body for status 307.

Evidence: TestRedirectedOrderIsNotFollowed on the code before: "got true, <nil> for a probe", "2 calls reached another address".

Change: the clients for orders return the redirect itself, which is no answer to an order.

Result: the test passes.

--- a/internal/node/fpcontrol/orders.go
+++ b/internal/node/fpcontrol/orders.go
@@ -69,6 +69,8 @@
 		Timeout: dialTimeout,
 	}
 	return &http.Client{
+		// An upstream may not send an order to another address.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				con, err := dia.DialContext(ctx, network, address)
--- a/internal/node/fpcontrol/orders_test.go
+++ b/internal/node/fpcontrol/orders_test.go
@@ -276,3 +276,31 @@
 		})
 	}
 }
+
+// TestRedirectedOrderIsNotFollowed guards against an order or a probe that a faulty upstream sends to another address: its answer would
+// count as that of the upstream.
+func TestRedirectedOrderIsNotFollowed(t *testing.T) {
+	reached := atomic.Int64{}
+	other := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		wri.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	defer other.Close()
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		http.Redirect(wri, req, other.URL+req.URL.Path, http.StatusTemporaryRedirect)
+	}))
+	defer srv.Close()
+	ups := &countingUpstream{
+		server: srv,
+	}
+	snd := newOrderSender(nil)
+	if res, err := snd.send(t.Context(), ups.order()); err == nil || res.Answered || res.Misdirected {
+		t.Errorf("got %+v, %v for an order", res, err)
+	}
+	if ended, err := snd.fresh.HasEnded(t.Context(), ups.order().Upstream, ""); err != nil || ended {
+		t.Errorf("got %t, %v for a probe", ended, err)
+	}
+	if reached.Load() > 0 {
+		t.Errorf("%d calls reached another address", reached.Load())
+	}
+}
