--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -76,6 +76,8 @@
 	Log    *zap.Logger
 	// Sync syncs a file of the group's log to disk; nil means (*os.File).Sync.
 	Sync func(fil *os.File) error
+	// Write writes to a file of the group's log; nil means (*os.File).Write.
+	Write func(fil *os.File, buf []byte) (int, error)
 }
 
 // Control is a control VM. Use New to create one.
@@ -153,7 +155,8 @@
 	}
 	con.initialState = con.loadState()
 	sto, err := fplog.Open(folder, fplog.Config{
-		Sync: cfg.Sync,
+		Sync:  cfg.Sync,
+		Write: cfg.Write,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/fpcontrol/control_test.go
+++ b/internal/node/fpcontrol/control_test.go
@@ -29,6 +29,8 @@
 	operator *platform.ControlClient
 	// configure, if not nil, changes a VM before it runs.
 	configure func(con *Control)
+	// write, if not nil, writes to a file of a VM's log.
+	write func(vm string, fil *os.File, buf []byte) (int, error)
 }
 
 // runningVM is a control VM that runs.
@@ -43,8 +45,16 @@
 }
 
 func newConfiguredCluster(t *testing.T, count int, configure func(con *Control)) *cluster {
-	clu := &cluster{
+	return startCluster(t, count, cluster{
 		configure: configure,
+	})
+}
+
+// startCluster starts a cluster with the functions of tmpl.
+func startCluster(t *testing.T, count int, tmpl cluster) *cluster {
+	clu := &cluster{
+		configure: tmpl.configure,
+		write:     tmpl.write,
 		t:         t,
 		folder:    t.TempDir(),
 		vms:       map[string]*runningVM{},
@@ -76,14 +86,18 @@
 
 func (clu *cluster) start(vm string, first bool) {
 	clu.t.Helper()
-	con, err := New(Config{
+	cfg := Config{
 		VM:         vm,
 		Seeds:      clu.seeds,
 		FirstStart: first,
 		DataFolder: clu.dataFolder(vm),
 		Losses:     1,
 		Log:        zap.NewNop(),
-	})
+	}
+	if clu.write != nil {
+		cfg.Write = func(fil *os.File, buf []byte) (int, error) { return clu.write(vm, fil, buf) }
+	}
+	con, err := New(cfg)
 	if err != nil {
 		clu.t.Fatal(err)
 	}
