fplog: sync the folder after each removed segment

Evidence: on the code before, TestRemovedSegmentsAfterPowerLoss: "after segment-3 came back: segment 6: frame 10 follows frame 5".

Change: each removal is synced before the next one.

Result: the tests of fplog pass.

--- a/internal/control/fplog/append.go
+++ b/internal/control/fplog/append.go
@@ -133,13 +133,16 @@
 			first = i
 		}
 	}
-	// The oldest file is removed first, so that a crash leaves no gap between segments.
+	// The oldest file is removed first, and for good before the next one, so that a power loss leaves no gap between segments.
 	for first > 0 {
 		if err := os.Remove(lg.path(segmentPrefix, lg.segments[0].number)); err != nil {
 			return fperror.Wrap(fperror.StorageFailed, err, "remove a segment of log %s", lg.dir)
 		}
 		lg.segments = lg.segments[1:]
 		first--
+		if err := lg.syncDir(lg.dir); err != nil {
+			return fperror.Wrap(fperror.StorageFailed, err, "remove a segment of log %s", lg.dir)
+		}
 	}
 	return nil
 }
--- a/internal/control/fplog/log_test.go
+++ b/internal/control/fplog/log_test.go
@@ -444,3 +444,79 @@
 		hasLaterFrame(buf, 0)
 	})
 }
+
+// TestRemovedSegmentsAfterPowerLoss guards against a log that can't be opened after a power loss: of the files that were removed since the
+// last sync of the folder, any may come back.
+func TestRemovedSegmentsAfterPowerLoss(t *testing.T) {
+	dir := t.TempDir()
+	synced := map[string][]byte{} // segments in the folder at its last sync
+	segments := func() map[string][]byte {
+		all := map[string][]byte{}
+		paths, err := filepath.Glob(filepath.Join(dir, segmentPrefix+"*"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, path := range paths {
+			buf, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all[path] = buf
+		}
+		return all
+	}
+	lg := mustOpen(t, dir, Config{
+		SegmentSize: 1,
+		Sync: func(fil *os.File) error {
+			if sta, err := fil.Stat(); err == nil && sta.IsDir() {
+				now, removed := segments(), 0
+				for path := range synced {
+					if now[path] == nil {
+						removed++
+					}
+				}
+				if removed > 1 {
+					t.Errorf("%d segments were removed between two syncs of the folder", removed)
+				}
+				synced = now
+			}
+			return fil.Sync()
+		},
+	})
+	const last = 5
+	for index := uint64(1); index <= last; index++ {
+		if err := lg.Append([]*fpwire.Entry{entry(1, index)}, HardState{Term: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := lg.SaveSnapshot(Snapshot{
+		Term:  1,
+		Index: last - 1,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := lg.Compact(last - 1); err != nil {
+		t.Fatal(err)
+	}
+	_ = lg.Close()
+	left := segments()
+	if len(left) > 2 {
+		t.Fatalf("%d segments are left, want most of them removed", len(left))
+	}
+	for path, buf := range synced {
+		if left[path] != nil {
+			continue
+		}
+		if err := os.WriteFile(path, buf, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		back, err := Open(dir, Config{})
+		if err != nil {
+			t.Fatalf("after %s came back: %v", filepath.Base(path), err)
+		}
+		_ = back.Close()
+		if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
+			t.Fatal(err)
+		}
+	}
+}
