fpforward: forward the path of a request as the caller wrote it

Cause: the request was sent with the parsed path, which net/url escapes again.

Evidence: TestTargetIsForwardedUnchanged on the code before: seven of eleven targets changed, such as "/safe/\x80\xff" to "/safe/%80%FF".

Change: the path is sent in opaque form, unless it begins with two slashes.

--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -447,6 +448,9 @@
 // newUpstreamRequest returns the request to send to an upstream, or to the peer that relays it there.
 func (exc *exchange) newUpstreamRequest(ctx context.Context, mem *member, pee *fprelay.Peer) *http.Request {
 	out := exc.request.Clone(ctx)
+	if path, _, _ := strings.Cut(out.RequestURI, "?"); strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		out.URL.Opaque = path // as the caller wrote it; net/url would escape some characters
+	}
 	out.RequestURI = ""
 	out.URL.Scheme = "http"
 	out.URL.Host = mem.upstream.GetAddress()
