--- a/internal/bench/fpsoak/foreign.go
+++ b/internal/bench/fpsoak/foreign.go
@@ -33,7 +33,7 @@
 
 // announceForeign sends announcements of another writer, which contradict running workers, until ctx ends.
 func (fle *fleet) announceForeign(ctx context.Context) {
-	ran := rand.New(rand.NewPCG(fle.cfg.Seed, 1<<36))
+	ran := rand.New(rand.NewPCG(fle.cfg.Seed, 1<<38))
 	for num := 0; ctx.Err() == nil; num++ {
 		wait(ctx, time.Duration(ran.Int64N(int64(foreignPause))))
 		prw := fle.randomKeyed(ran)
--- a/internal/node/fpcontrol/calls.go
+++ b/internal/node/fpcontrol/calls.go
@@ -193,9 +193,9 @@
 	return "", err
 }
 
-// depart removes an upstream. It returns once the control VMs have committed that, also if they don't know it yet. Born 0 stands for the incarnation that is known
-// here. If there is none, only the leader takes the call: a departure of any incarnation that reaches the leader late could remove
-// the next one.
+// depart removes an upstream. It returns once the control VMs have committed that, also if they don't know it yet. Born 0 stands for the
+// incarnation that is known here. If there is none, only the leader takes the call: a departure of any incarnation that reaches the leader
+// late could remove the next one.
 func (con *Control) depart(ctx context.Context, id string, born uint64) error {
 	old := con.directory.Upstream(id)
 	propose := con.propose
