fpforward: refuse large requests that crash their upstreams, too

Cause: requests whose body is not buffered as a whole were never suspects, because their digest needed the whole body.

Evidence: TestLargeCrashingRequestIsRefused on the code before: no crash is reported, and all eight upstreams have ended.

Change: the digest of such a request has the buffered start, whose size is the same on all VMs, and the declared length. Digests of others stay the same.

--- a/internal/route/fpforward/crash.go
+++ b/internal/route/fpforward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -114,21 +115,25 @@
 	}
 }
 
-// digest returns the digest of the request's content. The whole body must be buffered.
+// digest returns the digest of the request's content. Of a body that is not buffered as a whole, it has the buffered start and the
+// length, as far as that is known; the start has the same size on all VMs.
 func (exc *exchange) digest() string {
 	if exc.contentDigest == "" {
 		req := exc.request
 		dig := fpquarantine.NewDigest(req.Method + " " + req.Host + req.URL.RequestURI())
 		_, _ = dig.Write(exc.body) // it never fails
+		if exc.rest != nil {
+			_, _ = fmt.Fprintf(dig, "\x00%d", req.ContentLength)
+		}
 		exc.contentDigest = dig.String()
 	}
 	return exc.contentDigest
 }
 
 // checkQuarantine returns an error of kind Quarantined if upstreams have crashed while they ran requests with the same
-// content. Requests whose body is not buffered as a whole are not checked.
+// content.
 func (exc *exchange) checkQuarantine(now time.Time) error {
-	if quarantined, suspects := exc.fwd.quarantine.Len(); quarantined+suspects == 0 || exc.rest != nil {
+	if quarantined, suspects := exc.fwd.quarantine.Len(); quarantined+suspects == 0 {
 		return nil
 	}
 	return exc.fwd.quarantine.Check(now, exc.digest())
@@ -137,9 +142,7 @@
 // recordInterruption records that the upstream has closed the connection of the request without an answer, and starts to
 // check whether its process has ended. If keep is set, the connection that the check opens is kept for later requests.
 func (exc *exchange) recordInterruption(mem *member, now time.Time, keep bool) {
-	if exc.rest == nil {
-		mem.interrupted.add(now, exc.digest())
-	}
+	mem.interrupted.add(now, exc.digest())
 	if mem.confirming.CompareAndSwap(false, true) {
 		go exc.fwd.confirmCrash(mem, keep)
 	}
@@ -174,7 +177,7 @@
 
 // clearSuspect removes the request from the suspects, because an upstream has answered it.
 func (exc *exchange) clearSuspect() {
-	if _, suspects := exc.fwd.quarantine.Len(); suspects == 0 || exc.rest != nil || !exc.fwd.quarantine.Clear(exc.digest()) {
+	if _, suspects := exc.fwd.quarantine.Len(); suspects == 0 || !exc.fwd.quarantine.Clear(exc.digest()) {
 		return
 	}
 	rep := &exc.fwd.crashes
--- a/internal/route/fpforward/crash_test.go
+++ b/internal/route/fpforward/crash_test.go
@@ -19,7 +19,7 @@
 	var srv *httptest.Server
 	srv = httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		body, err := io.ReadAll(req.Body)
-		if err == nil && string(body) == "bad" {
+		if err == nil && strings.HasPrefix(string(body), "bad") {
 			runs.Add(1)
 			_ = srv.Listener.Close() // the address refuses connections from here on
 			panic(http.ErrAbortHandler)
@@ -64,6 +64,41 @@
 	}
 }
 
+// TestLargeCrashingRequestIsRefused guards against a request that is never refused though it crashes each upstream that runs it, because its
+// body is too large to be buffered as a whole; and against the refusal of others that are as large or begin alike.
+func TestLargeCrashingRequestIsRefused(t *testing.T) {
+	har := newHarness(t)
+	var runs atomic.Int64
+	for num := range 8 {
+		har.addCrashingUpstream(fmt.Sprintf("fragile-%d", num), &runs)
+	}
+	bad := "bad" + strings.Repeat("x", 200_000)
+	good := "good" + bad[4:]
+	for range 30 {
+		har.post(bad)
+		for range 6 {
+			// Other requests detect that the process has ended.
+			har.post("good")
+		}
+	}
+	if got := runs.Load(); got > 3 {
+		t.Errorf("the request crashed %d upstreams, want at most 3", got)
+	}
+	for body, want := range map[string]int{
+		bad:              http.StatusServiceUnavailable,
+		good:             http.StatusOK,
+		good + "x":       http.StatusOK,
+		"good" + "short": http.StatusOK,
+	} {
+		if status := har.post(body); status != want {
+			t.Errorf("a body of %d bytes that begins with %q got status %d, want %d", len(body), body[:4], status, want)
+		}
+	}
+	if crashes, _ := har.forward.TakeCrashes(); len(crashes) < 2 {
+		t.Errorf("%d crashes are reported, want 2 or more", len(crashes))
+	}
+}
+
 // TestQuarantineFollowsState guards against an entry VM that forwards a request which the control VMs have quarantined, and
 // one that refuses it after the quarantine has been lifted.
 func TestQuarantineFollowsState(t *testing.T) {
