fpcontrol: take the probe of an address as proof for its keys, too

Cause: the keeper waited for an order that is answered with 421. Upstreams without keys answer orders with 400, which counted as an order that may have arrived.

Change: the leader tells the keeper of the incarnation whose end its probe has shown, and probes before an order to an address that another upstream has announced. The probe uses the health path of the announced service.

--- a/internal/control/fpkeeper/incarnation.go
+++ b/internal/control/fpkeeper/incarnation.go
@@ -48,8 +48,16 @@
 	return last
 }
 
+// RecordEnded records that an incarnation has ended, because another upstream answers at its address.
+func (kee *Keeper) RecordEnded(ups *fpstate.Upstream) {
+	kee.misdirected[incarnation{
+		id:   ups.GetId(),
+		born: ups.GetBorn(),
+	}] = true
+}
+
 // addressTaken reports whether the incarnation that holds a range has ended because a later one has its address under another id, and
-// has refused an order for it. holder is the result of Keeper.holder. The later one holds none of the keys, because it refuses all
+// has answered there for itself. holder is the result of Keeper.holder. The later one holds none of the keys, because it refuses all
 // orders for another id.
 func (kee *Keeper) addressTaken(vie View, ran *fpstate.Range, holder *fpstate.Upstream) bool {
 	if holder == nil || !kee.misdirected[incarnationOf(ran)] {
--- a/internal/control/fpkeeper/keeper.go
+++ b/internal/control/fpkeeper/keeper.go
@@ -19,8 +19,8 @@
 //     a new connection (Order.Proof).
 //
 // A range may go to another upstream after its expiry, after the first release was answered and its uncertainty has ended,
-// or when a later incarnation is known at the holder's address under another id, and has refused an order for the holder
-// (Result.Misdirected). The announcement alone proves nothing, because anyone may send it; the holder is then asked for a release.
+// or when a later incarnation is known at the holder's address under another id, and has answered there for itself
+// (Result.Misdirected, RecordEnded). The announcement alone proves nothing, because anyone may send it; the holder is then asked for a release.
 // A later incarnation at that address under the same id accepts the orders, so the range goes to this incarnation. One at another
 // address doesn't prove that the holder has ended. While a release without an answer may still take effect, the answer to
 // another one of the same keys is no proof. A grant is sent only after the change of its range is committed.
@@ -95,7 +95,7 @@
 	Fenced bool
 	// NotSent states that no connection could be opened, and the order had no effect.
 	NotSent bool
-	// Misdirected states that another upstream answered at the address and refused the order.
+	// Misdirected states that another upstream answers at the address, and the order did not reach its own.
 	Misdirected bool
 	// Withheld states that the order was not sent because the leader could not confirm its leader lease. It says nothing
 	// about the upstream.
@@ -222,7 +222,7 @@
 	successions map[string][]succession
 	// holders holds the last announcements of the incarnations that hold ranges, or have held some.
 	holders map[incarnation]*fpstate.Upstream
-	// misdirected holds the incarnations at whose address another upstream has refused an order.
+	// misdirected holds the incarnations at whose address another upstream has answered.
 	misdirected map[incarnation]bool
 	// pending holds the last change of each service until its outcome is known.
 	pending map[string]*pendingChange
--- a/internal/node/fpcontrol/admission.go
+++ b/internal/node/fpcontrol/admission.go
@@ -44,21 +44,41 @@
 		return err
 	}
 	former := con.formerAt(ups)
-	ser := con.findService(former.GetService())
-	if former == nil || ser == nil && con.directory.Configuration() != nil {
+	if former == nil || con.findService(former.GetService()) == nil && con.directory.Configuration() != nil {
 		return nil // the former upstream gets neither requests nor orders
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	ended, err := con.probe(ctx, former, ser.GetHealthPath())
+	ended, err := con.replaced(ctx, former, ups)
 	con.cfg.Log.Info("address announced by another upstream", zap.String("address", ups.GetAddress()), zap.String("upstream", ups.GetId()),
 		zap.String("former", former.GetId()), zap.Bool("formerEnded", ended), zap.Error(err))
 	if !ended {
 		return fperror.New(fperror.NoUpstream, "upstream %s has not left address %s, which upstream %s announces", former.GetId(), ups.GetAddress(), ups.GetId())
 	}
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	if con.keeper != nil {
+		con.keeper.RecordEnded(former)
+	}
 	return nil
 }
 
+// replaced reports whether an upstream has ended because another one, which announces its address, answers there.
+func (con *Control) replaced(ctx context.Context, former, next *fpstate.Upstream) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return con.probe(ctx, former, con.findService(next.GetService()).GetHealthPath())
+}
+
+// misdirected reports whether an order would reach another upstream than its own, which has ended. It asks only if another one has
+// announced the address, because an upstream without keys may answer an order with any failure.
+func (con *Control) misdirected(ctx context.Context, ups *fpstate.Upstream) bool {
+	other := con.directory.AtAddress(ups.GetAddress())
+	if other == nil || other.GetId() == ups.GetId() {
+		return false
+	}
+	ended, err := con.replaced(ctx, ups, other)
+	return err == nil && ended
+}
+
 // formerAt returns the upstream that an announcement would remove, because it has the same address under another id, or nil.
 func (con *Control) formerAt(ups *fpstate.Upstream) *fpstate.Upstream {
 	former := con.directory.AtAddress(ups.GetAddress())
--- a/internal/node/fpcontrol/admission_test.go
+++ b/internal/node/fpcontrol/admission_test.go
@@ -5,9 +5,11 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -81,3 +83,57 @@
 	clu.waitFor("the next upstream at the address is accepted", func() bool { return announce(two, 1) == nil })
 	clu.waitFor("the former one has left", func() bool { return clu.vms[clu.seeds[0]].control.directory.Upstream("one").GetGone() })
 }
+
+// TestKeysOfReplacedUpstreamGoOnAtOnce guards against keys that wait for the end of a hold although another upstream, of a service without
+// keys, has the address of their holder and says so: it answers orders with status 400.
+func TestKeysOfReplacedUpstreamGoOnAtOnce(t *testing.T) {
+	var id atomic.Value // of the upstream at the address
+	id.Store("one")
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		wri.Header().Set("Foxtailpulley-Instance-Id", id.Load().(string))
+		if req.Method == http.MethodPost && id.Load() != "one" {
+			wri.WriteHeader(http.StatusBadRequest)
+		}
+	}))
+	defer srv.Close()
+	spare := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer spare.Close()
+	clu := newCluster(t, 3)
+	clu.waitForVoters(3)
+	document := `{"version":5,"routes":[],"services":[{"name":"s","sharded":true,"health_path":"/health"},{"name":"other","health_path":"/health"}]}`
+	clu.waitFor("the configuration is accepted", func() bool {
+		return clu.operator.Put(t.Context(), clu.seeds[0], []byte(document)) == nil
+	})
+	clu.waitForRevision(5)
+	announce := func(name, service, address string, born uint64) {
+		t.Helper()
+		clu.waitFor("the announcement is accepted", func() bool {
+			return clu.operator.Announce(t.Context(), clu.seeds[0], &fpstate.Upstream{
+				Id:          name,
+				Born:        born,
+				Service:     service,
+				Address:     address,
+				Concurrency: 4,
+			}, 1) == nil
+		})
+	}
+	heldBy := func(name string) uint32 {
+		count := uint32(0)
+		for _, ran := range clu.vms[clu.seeds[0]].control.directory.Ranges("s") {
+			if ran.GetUpstream() == name && ran.GetPhase() == fpstate.Phase_PHASE_SERVING {
+				count += ran.GetLast() - ran.GetFirst() + 1
+			}
+		}
+		return count
+	}
+	announce("one", "s", srv.Listener.Addr().String(), 1)
+	announce("spare", "s", spare.Listener.Addr().String(), 1)
+	clu.waitFor("both hold keys", func() bool { return heldBy("one")+heldBy("spare") == 1<<16 && heldBy("one") > 0 })
+	id.Store("two")
+	replaced := time.Now()
+	announce("two", "other", srv.Listener.Addr().String(), 2)
+	clu.waitFor("the other upstream holds all keys", func() bool { return heldBy("spare") == 1<<16 })
+	if took := time.Since(replaced); took > fpkeeper.DefaultHold/2 {
+		t.Errorf("the keys went on after %v, want them before the end of the hold", took)
+	}
+}
--- a/internal/node/fpcontrol/orders.go
+++ b/internal/node/fpcontrol/orders.go
@@ -159,6 +159,11 @@
 		}
 	}
 	defer cancel()
+	if con.misdirected(call, ord.Upstream) {
+		return fpkeeper.Result{
+			Misdirected: true,
+		}
+	}
 	sent := time.Now()
 	res, err := con.orders.send(call, ord)
 	if err != nil && per.withheld() {
