platform: EncodeInstance for stand-ins

The header of a health check's answer was named outside platform/, in a test of fpcontrol. The stand-in worker of the soak names itself in health checks as the users' workers do.

--- a/internal/bench/fpworker/worker.go
+++ b/internal/bench/fpworker/worker.go
@@ -228,6 +228,7 @@
 		wor.executeOrder(wri, ord)
 		return
 	case req.URL.Path == HealthPath:
+		platform.EncodeInstance(wri.Header(), wor.cfg.Upstream.GetId())
 		return
 	}
 	info := platform.DecodeRequest(req.Header)
--- a/internal/node/fpcontrol/admission_test.go
+++ b/internal/node/fpcontrol/admission_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/platform"
 )
 
 // TestAnnouncementOfAnotherWriter guards against a running upstream that is taken for ended, loses its keys and is shut out for the rest
@@ -19,7 +20,7 @@
 	var id atomic.Value // of the upstream that answers
 	id.Store("one")
 	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if req.Header.Get("Foxtailpulley-Target-Instance") != id.Load() {
+		if platform.DecodeTarget(req.Header) != id.Load() {
 			wri.WriteHeader(http.StatusMisdirectedRequest)
 		}
 	}))
@@ -90,7 +91,7 @@
 	var id atomic.Value // of the upstream at the address
 	id.Store("one")
 	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		wri.Header().Set("Foxtailpulley-Instance-Id", id.Load().(string))
+		platform.EncodeInstance(wri.Header(), id.Load().(string))
 		if req.Method == http.MethodPost && id.Load() != "one" {
 			wri.WriteHeader(http.StatusBadRequest)
 		}
