fpcontrol: fixtures of orders get a directory and a probe

Change: the test fixtures of orders have a directory, and those of the order model a probe. No product code changes.

--- a/internal/node/fpcontrol/ordermodel_test.go
+++ b/internal/node/fpcontrol/ordermodel_test.go
@@ -200,6 +200,7 @@
 	for _, cli := range []*http.Client{con.orders.persistent.Client, con.orders.fresh.Client} {
 		cli.Transport.(*http.Transport).DialContext = mod.dial
 	}
+	con.probe = con.orders.fresh.HasEnded
 	return &modelVM{
 		control: con,
 	}
--- a/internal/node/fpcontrol/permit_test.go
+++ b/internal/node/fpcontrol/permit_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpkeeper"
 )
@@ -51,8 +52,9 @@
 		cfg: Config{
 			Log: zap.NewNop(),
 		},
-		lead:   lea.leadership,
-		orders: newOrderSender(nil),
+		directory: fpdirectory.New(),
+		lead:      lea.leadership,
+		orders:    newOrderSender(nil),
 	}
 }
 
