--- a/review/standins-2/cases/cutworkers/main.go
+++ b/review/standins-2/cases/cutworkers/main.go
@@ -1,5 +1,5 @@
 // Program cutworkers shows what happens to workers that have been partitioned from the control VMs for some time, while requests still
-// reached them, once the partition is over.
+// reached them, once the partition is over and a final fault has struck. TROUBLE=0 leaves out both, and TROUBLE=final the partition.
 package main
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +33,8 @@
 		return fleet.NotRun
 	}
 	defer fle.Close()
-	broken, err := play(fle, os.Getenv("TROUBLE") != "0")
+	trouble := os.Getenv("TROUBLE")
+	broken, err := play(fle, trouble != "0" && trouble != "final", trouble != "0")
 	if err != nil {
 		fle.Record.Write("the case could not run: %v", err)
 		fmt.Println("not run:", err)
@@ -69,7 +71,8 @@
 	return res, err
 }
 
-func play(fle *fleet.Fleet, trouble bool) (broken bool, err error) {
+// play plays the case: with the partition if partition is set, and with the final fault if final is set.
+func play(fle *fleet.Fleet, partition, final bool) (broken bool, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, dataCentre := range fleet.DataCentres {
@@ -116,7 +119,7 @@
 	if before < requests*3/4 {
 		return false, fmt.Errorf("only %d of %d requests were served before the disruption", before, requests)
 	}
-	if trouble {
+	if partition {
 		fle.Record.Write("the workers are partitioned from the control VMs")
 		net.active.Store(true)
 	}
@@ -129,18 +132,42 @@
 		})
 	}
 	net.active.Store(false)
-	net.acks.Store(0)
 	fle.Record.Write("the partition is over")
+	time.Sleep(3 * time.Second)
+	if final {
+		if err := killAll(fle); err != nil {
+			return false, err
+		}
+	}
+	net.acks.Store(0)
 	time.Sleep(recovery)
 	acks := net.acks.Load()
 	after := serve(cli, fle)
-	fle.Record.Write("%v after the partition: %d of %d requests served; %d heartbeats acknowledged since", recovery, after, requests, acks)
+	fle.Record.Write("%v after the machines are back: %d of %d requests served; %d heartbeats acknowledged since", recovery, after, requests, acks)
 	if acks == 0 {
 		return false, fmt.Errorf("no heartbeat was acknowledged after the partition")
 	}
 	return after < requests/4, nil
 }
 
+// killAll is the final fault: all processes are killed at the same moment and are back within a second.
+func killAll(fle *fleet.Fleet) error {
+	all := append(append([]*fleet.VM(nil), fle.Controls...), fle.Entries...)
+	var ends sync.WaitGroup
+	for _, vm := range all {
+		ends.Go(vm.Kill)
+	}
+	ends.Wait()
+	time.Sleep(800 * time.Millisecond)
+	for _, vm := range all {
+		vm.SetFirstStart(false)
+		if err := vm.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // serve sends requests for 10 s and returns how many were served.
 func serve(cli *fleet.Client, fle *fleet.Fleet) int {
 	served := 0
