--- a/review/standins-2/cases/cutworkers/main.go
+++ b/review/standins-2/cases/cutworkers/main.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -135,7 +134,7 @@
 	fle.Record.Write("the partition is over")
 	time.Sleep(3 * time.Second)
 	if final {
-		if err := killAll(fle); err != nil {
+		if err := fle.KillAll(); err != nil {
 			return false, err
 		}
 	}
@@ -150,24 +149,6 @@
 	return after < requests/4, nil
 }
 
-// killAll is the final fault: all processes are killed at the same moment and are back within a second.
-func killAll(fle *fleet.Fleet) error {
-	all := append(append([]*fleet.VM(nil), fle.Controls...), fle.Entries...)
-	var ends sync.WaitGroup
-	for _, vm := range all {
-		ends.Go(vm.Kill)
-	}
-	ends.Wait()
-	time.Sleep(800 * time.Millisecond)
-	for _, vm := range all {
-		vm.SetFirstStart(false)
-		if err := vm.Start(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // serve sends requests for 10 s and returns how many were served.
 func serve(cli *fleet.Client, fle *fleet.Fleet) int {
 	served := 0
--- a/review/standins-2/fleet/fleet.go
+++ b/review/standins-2/fleet/fleet.go
@@ -252,6 +252,24 @@
 	vm.fleet.Record.Write("%s killed", vm.Name)
 }
 
+// KillAll is a final fault: all processes are killed at the same moment and are back within a second.
+func (fle *Fleet) KillAll() error {
+	all := append(append([]*VM(nil), fle.Controls...), fle.Entries...)
+	var ends sync.WaitGroup
+	for _, vm := range all {
+		ends.Go(vm.Kill)
+	}
+	ends.Wait()
+	time.Sleep(800 * time.Millisecond)
+	for _, vm := range all {
+		vm.SetFirstStart(false)
+		if err := vm.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Close ends all processes and removes the folder, unless KEEP is set in the environment.
 func (fle *Fleet) Close() {
 	fle.mutex.Lock()
