--- a/review/standins-2/fleet/client.go
+++ b/review/standins-2/fleet/client.go
@@ -20,6 +20,8 @@
 	Path    string
 	// Key is the key of a request to a divided service, or -1.
 	Key int
+	// Fill is the value of a further header, or "".
+	Fill string
 }
 
 // Answer is what the client has got.
@@ -56,7 +58,7 @@
 // Do sends a request to an entry VM.
 func (cli *Client) Do(vm *VM, req Request) Answer {
 	ans := cli.send(vm, req)
-	cli.Record.Write("request %s %s %s key %d at %s: status %d signed %t", req.Attempt, req.Method, req.Path, req.Key, vm.Name, ans.Status, ans.Signed)
+	cli.Record.Write("request %s %s %s key %d fill %d at %s: status %d signed %t", req.Attempt, req.Method, req.Path, req.Key, len(req.Fill), vm.Name, ans.Status, ans.Signed)
 	return ans
 }
 
@@ -76,6 +78,9 @@
 	if req.Key >= 0 {
 		out.Header.Set("Foxtailpulley-Shard-Key", strconv.Itoa(req.Key))
 	}
+	if req.Fill != "" {
+		out.Header.Set("X-Fill", req.Fill)
+	}
 	res, err := cli.Client.Do(out)
 	if err != nil {
 		return Answer{
--- a/review/standins-2/fleet/operator.go
+++ b/review/standins-2/fleet/operator.go
@@ -26,6 +26,11 @@
 
 // Configuration returns the JSON form of a configuration as PROTOCOL.md describes it.
 func Configuration(version uint64, services []Service, routes []Route) []byte {
+	return ConfigurationWithHeaders(version, 16384, services, routes)
+}
+
+// ConfigurationWithHeaders is Configuration with the largest header that clients may send, in bytes.
+func ConfigurationWithHeaders(version uint64, maxHeaderBytes int, services []Service, routes []Route) []byte {
 	var sers, rous []map[string]any
 	for _, ser := range services {
 		one := map[string]any{
@@ -58,7 +63,7 @@
 		"routes":   rous,
 		"services": sers,
 		"limits": map[string]any{
-			"max_header_bytes": 16384,
+			"max_header_bytes": maxHeaderBytes,
 			"max_body_bytes":   67108864,
 			"header_timeout":   "3000ms",
 			"idle_timeout":     "15000ms",
