--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A request that crashes its workers comes again and again, while the leader of the control VMs is killed five times. TROUBLE=0: no kills.
-cd "$(dirname "$0")" && exec ../standins-2/bin/crashing ../../target/foxtailpulley
+# A configuration raises the size of the headers that clients may send. TROUBLE=0: it has that size from the start.
+cd "$(dirname "$0")" && exec ../standins-2/bin/headerlimit ../../target/foxtailpulley
