fpcontrol: silence of a control VM counts from the first lost message

Callers saw: nothing so far. After an election the new leader could remove a learner, and give another one a vote in place of a voter, although both were reachable; the removed VM had to join again.

Cause: silence was counted from the last message that a VM had taken. A VM that doesn't lead sends none to the other followers, so for a new leader they had been silent since it last led, until its first heartbeat was answered.

Change: silence counts from the first lost message that was followed by lost ones only. Failures from before a pause without messages don't count.

--- /dev/null
+++ b/internal/node/fpcontrol/contact.go
@@ -0,0 +1,63 @@
+package fpcontrol
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// silentAfter is the silence after which a control VM counts as lost. It is longer than a restart, which takes about a second.
+const silentAfter = 2 * time.Second
+
+// contact is what this VM knows from the delivery of its messages to another control VM. The zero value stands for a VM that
+// took the last one.
+type contact struct {
+	// failingSince is when the first of the messages was sent that all failed since, or zero. lastFailure is when the last one
+	// failed.
+	failingSince time.Time
+	lastFailure  time.Time
+}
+
+// fail returns the contact after a message, sent at the given time, has failed now. Failures before a pause without messages
+// don't count, because the VM may have been reachable meanwhile.
+func (con contact) fail(sent, now time.Time) contact {
+	if con.failingSince.IsZero() || sent.Sub(con.lastFailure) > silentAfter {
+		con.failingSince = sent
+	}
+	con.lastFailure = now
+	return con
+}
+
+// silence returns for how long the VM has taken no message. It is 0 if none was sent lately: a VM that doesn't lead sends few,
+// and their results say nothing about the VM once this one leads.
+func (con contact) silence(now time.Time) time.Duration {
+	if con.failingSince.IsZero() || now.Sub(con.lastFailure) > silentAfter {
+		return 0
+	}
+	return now.Sub(con.failingSince)
+}
+
+// recordContact records whether a control VM took messages that were sent at the given time. It logs when a VM is reached for
+// the first time or again after a silence.
+func (con *Control) recordContact(vm string, sent time.Time, err error) {
+	now := time.Now()
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	old, known := con.contacts[vm]
+	if err != nil {
+		con.contacts[vm] = old.fail(sent, now)
+		con.metrics.lostSteps.Add(1)
+		return
+	}
+	if !known || old.silence(now) > silentAfter {
+		con.cfg.Log.Info("control VM reached", zap.String("peer", vm))
+	}
+	con.contacts[vm] = contact{}
+}
+
+// silent reports whether a control VM has taken no message for longer than a duration.
+func (con *Control) silent(vm string, length time.Duration) bool {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	return con.contacts[vm].silence(time.Now()) > length
+}
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -123,7 +123,7 @@
 	mutex        sync.Mutex
 	seeds        []string
 	peers        map[string]fpstateconnect.StateServiceClient
-	lastContact  map[string]time.Time // when a control VM last took a message, or when the first message to it failed
+	contacts     map[string]contact   // by control VM to which a message was sent
 	joinRequests map[string]time.Time // when a VM last asked to join
 	// pendingLeaving are the upstreams of which a commit that they leave is in flight.
 	pendingLeaving map[string]bool
@@ -147,7 +147,7 @@
 		level:         fpdirectory.KnownLevel,
 		seeds:         cfg.Seeds,
 		peers:         map[string]fpstateconnect.StateServiceClient{},
-		lastContact:   map[string]time.Time{},
+		contacts:      map[string]contact{},
 		joinRequests:  map[string]time.Time{},
 
 		pendingLeaving: map[string]bool{},
@@ -329,30 +329,11 @@
 func (con *Control) send(ctx context.Context, vm string, msgs []*fpwire.GroupMessage) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
+	began := time.Now()
 	_, err := con.peer(vm).Step(ctx, connect.NewRequest(&fpstate.StepRequest{
 		Messages: msgs,
 	}))
-	con.recordContact(vm, err)
-}
-
-// recordContact records whether a control VM took messages. It logs when a VM is reached for the first time or again after a
-// silence.
-func (con *Control) recordContact(vm string, err error) {
-	con.mutex.Lock()
-	defer con.mutex.Unlock()
-	last, known := con.lastContact[vm]
-	if err == nil {
-		if !known || time.Since(last) > silentAfter {
-			con.cfg.Log.Info("control VM reached", zap.String("peer", vm))
-		}
-		con.lastContact[vm] = time.Now()
-		return
-	}
-	if !known {
-		// The silence of a VM that never took a message counts from the first one that failed.
-		con.lastContact[vm] = time.Now()
-	}
-	con.metrics.lostSteps.Add(1)
+	con.recordContact(vm, began, err)
 }
 
 // notifyLeadershipChanges wakes the goroutines that wait for a change of the leadership, until ctx ends.
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -17,9 +17,6 @@
 	joinInterval = 500 * time.Millisecond
 	// memberCheckInterval is the time between two checks of the membership.
 	memberCheckInterval = 300 * time.Millisecond
-	// silentAfter is the silence after which a control VM counts as lost. It is longer than a restart, which takes about a
-	// second.
-	silentAfter = 2 * time.Second
 	// removeAfter is the silence after which a member is removed, if enough voters remain. It joins again when it is back.
 	removeAfter = 8 * time.Second
 	// changeTimeout bounds one change of the membership. The next check continues a change that timed out.
@@ -197,12 +194,3 @@
 	}
 	return ""
 }
-
-// silent reports whether a control VM has taken no message for longer than a duration. A VM to which no message was sent yet
-// is not silent.
-func (con *Control) silent(vm string, length time.Duration) bool {
-	con.mutex.Lock()
-	defer con.mutex.Unlock()
-	last, ok := con.lastContact[vm]
-	return ok && time.Since(last) > length
-}
