fpcontrol: the learner that replaces a silent voter takes its place at once

The group never elects a leader again: reads and changes of the configuration get 503 for good, and keys have no holder.

Cause: a silent voter kept its vote until it had been silent for 8 s. After 4 s a learner got a vote beside it, so that there were four voters of which one was gone, with a quorum of three. Neither time was derived from catch_up, the time from which the next loss has to be tolerated. Changes that had become due waited for the next check, and one that waited for an unreachable VM blocked the others for 4 s.

As soon as a learner has its vote, the silent voter becomes a learner, and is removed after 8 s as before. The vote goes to the learner that has synced most. The next change follows without a wait, and a change waits for its VM for 1 s at most. The vote is given before the other one is taken: if the silent voter was only frozen or cut off and comes back in between, all four count. Without the silent voter, both orders, and a change of both votes at once, need all remaining voters until they are committed, so that only a short window helps.

TestLearnerReplacesLostVoter waited for four voters, which now last for milliseconds. It checks instead that the learner votes, that the lost VM doesn't, and that there are three voters on all VMs, before and after the lost one is back.

--- a/internal/config/fpgateway/settings.go
+++ b/internal/config/fpgateway/settings.go
@@ -52,6 +52,7 @@
 	MaxHold     string  `json:"maxHold"`
 	Drain       string  `json:"drain"`
 	Evacuate    string  `json:"evacuate"`
+	CatchUp     string  `json:"catchUp"`
 }
 
 type losses struct {
@@ -225,6 +226,8 @@
 	Drain time.Duration
 	// Evacuate is the time after the acknowledgement of an evacuation in which upstreams of the data centre may still get requests.
 	Evacuate time.Duration
+	// CatchUp is the time after the start of the successor of a lost control VM from which the loss of another one is tolerated.
+	CatchUp time.Duration
 }
 
 // Defaults of the promises that the settings file omits. That of RetryExtra is 0.
@@ -235,6 +238,7 @@
 	defaultMaxHold     = 10 * time.Second
 	defaultDrain       = 2500 * time.Millisecond
 	defaultEvacuate    = 5 * time.Second
+	defaultCatchUp     = 4 * time.Second
 )
 
 // Promises returns the promised limits, with defaults for those that the settings file omits.
@@ -262,6 +266,7 @@
 		MaxHold:     duration("maxHold", fil.MaxHold, defaultMaxHold),
 		Drain:       duration("drain", fil.Drain, defaultDrain),
 		Evacuate:    duration("evacuate", fil.Evacuate, defaultEvacuate),
+		CatchUp:     duration("catchUp", fil.CatchUp, defaultCatchUp),
 	}
 	if fil.RetryShare == 0 {
 		set.promises.RetryShare = defaultRetryShare
--- a/internal/config/fpgateway/settings_test.go
+++ b/internal/config/fpgateway/settings_test.go
@@ -10,7 +10,7 @@
   "vm": "entry-1", "dataCentre": "east-1", "region": "east", "regions": {"east-1": "east", "west-1": "west"},
   "seeds": ["127.0.0.1:7001"], "firstStart": true,
   "listen": {"callers": "127.0.0.1:7101", "ready": "127.0.0.1:7102"},
-  "promises": {"stop": "6s", "retryWindow": "10s", "retryExtra": 56, "retryShare": 0.2, "evacuate": "4s"},
+  "promises": {"stop": "6s", "retryWindow": "10s", "retryExtra": 56, "retryShare": 0.2, "evacuate": "4s", "catchUp": "6s"},
   "losses": {"vms": 1}, "memoryMiB": 64, "logLevel": "info"
 }`
 
@@ -31,6 +31,7 @@
 		MaxHold:     defaultMaxHold,
 		Drain:       defaultDrain,
 		Evacuate:    4 * time.Second,
+		CatchUp:     6 * time.Second,
 	}
 	if set.Promises() != want {
 		t.Errorf("got promises %+v, want %+v", set.Promises(), want)
--- a/internal/node/fpcontrol/contact.go
+++ b/internal/node/fpcontrol/contact.go
@@ -6,8 +6,13 @@
 	"go.uber.org/zap"
 )
 
-// silentAfter is the silence after which a control VM counts as lost. It is longer than a restart, which takes about a second.
-const silentAfter = 2 * time.Second
+const (
+	// minSilentAfter and maxSilentAfter bound the silence after which a control VM counts as lost. A restart takes about a second.
+	minSilentAfter = time.Second
+	maxSilentAfter = 2 * time.Second
+	// contactTimeout is how long the loss of a message counts. A leader sends one every groupHeartbeat.
+	contactTimeout = 2 * time.Second
+)
 
 // contact is what this VM knows from the delivery of its messages to another control VM. The zero value stands for a VM that
 // took the last one.
@@ -21,7 +26,7 @@
 // fail returns the contact after a message, sent at the given time, has failed now. Failures before a pause without messages
 // don't count, because the VM may have been reachable meanwhile.
 func (con contact) fail(sent, now time.Time) contact {
-	if con.failingSince.IsZero() || sent.Sub(con.lastFailure) > silentAfter {
+	if con.failingSince.IsZero() || sent.Sub(con.lastFailure) > contactTimeout {
 		con.failingSince = sent
 	}
 	con.lastFailure = now
@@ -31,7 +36,7 @@
 // silence returns for how long the VM has taken no message. It is 0 if none was sent lately: a VM that doesn't lead sends few,
 // and their results say nothing about the VM once this one leads.
 func (con contact) silence(now time.Time) time.Duration {
-	if con.failingSince.IsZero() || now.Sub(con.lastFailure) > silentAfter {
+	if con.failingSince.IsZero() || now.Sub(con.lastFailure) > contactTimeout {
 		return 0
 	}
 	return now.Sub(con.failingSince)
@@ -49,15 +54,24 @@
 		con.metrics.lostSteps.Add(1)
 		return
 	}
-	if !known || old.silence(now) > silentAfter {
+	if !known || old.silence(now) > con.silentAfter() {
 		con.cfg.Log.Info("control VM reached", zap.String("peer", vm))
 	}
 	con.contacts[vm] = contact{}
 }
 
-// silent reports whether a control VM has taken no message for longer than a duration.
-func (con *Control) silent(vm string, length time.Duration) bool {
+// silentAfter returns the silence after which a control VM counts as lost. It is half of CatchUp: the other half is for an election
+// before and the changes of the membership after it.
+func (con *Control) silentAfter() time.Duration {
+	return min(max(con.cfg.CatchUp/2, minSilentAfter), maxSilentAfter)
+}
+
+// silence returns for how long a control VM has taken no message.
+func (con *Control) silence(vm string) time.Duration {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
-	return con.contacts[vm].silence(time.Now()) > length
+	return con.contacts[vm].silence(time.Now())
 }
+
+// silent reports whether a control VM has taken no message for longer than a duration.
+func (con *Control) silent(vm string, length time.Duration) bool { return con.silence(vm) > length }
--- a/internal/node/fpcontrol/contact_test.go
+++ b/internal/node/fpcontrol/contact_test.go
@@ -35,19 +35,19 @@
 				}
 				con.recordContact("other", time.Now(), tes.before)
 				time.Sleep(time.Hour)
-				if con.silent("other", silentAfter) {
+				if con.silent("other", con.silentAfter()) {
 					t.Error("a VM to which nothing was sent for an hour is silent")
 				}
 				began := time.Now()
-				for time.Since(began) <= silentAfter {
-					if con.silent("other", silentAfter) {
+				for time.Since(began) <= con.silentAfter() {
+					if con.silent("other", con.silentAfter()) {
 						t.Fatalf("silent %v after the first lost message", time.Since(began))
 					}
 					sent := time.Now()
 					time.Sleep(stepTimeout)
 					con.recordContact("other", sent, lost)
 				}
-				if !con.silent("other", silentAfter) {
+				if !con.silent("other", con.silentAfter()) {
 					t.Errorf("not silent %v after the first lost message", time.Since(began))
 				}
 				con.recordContact("other", time.Now(), nil)
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -78,7 +78,9 @@
 	DataCentres []string
 	// Losses is the number of control VMs that may be lost at once. The group gets 2*Losses+1 voters.
 	Losses int
-	Log    *zap.Logger
+	// CatchUp is the time after the start of the successor of a lost control VM from which the next loss has to be tolerated.
+	CatchUp time.Duration
+	Log     *zap.Logger
 	// Sync syncs a file of the group's log to disk; nil means (*os.File).Sync.
 	Sync func(fil *os.File) error
 	// Write writes to a file of the group's log; nil means (*os.File).Write.
--- a/internal/node/fpcontrol/control_test.go
+++ b/internal/node/fpcontrol/control_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpport"
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
 	"github.com/foxtailpulley/foxtailpulley/platform"
@@ -92,6 +94,7 @@
 		FirstStart: first,
 		DataFolder: clu.dataFolder(vm),
 		Losses:     1,
+		CatchUp:    catchUp,
 		Log:        zap.NewNop(),
 	}
 	if clu.write != nil {
@@ -157,14 +160,8 @@
 	clu.t.Helper()
 	clu.waitFor(fmt.Sprintf("%d VMs vote and %d are members", count, len(clu.vms)), func() bool {
 		for vm, run := range clu.vms {
-			voters := 0
 			sta := run.control.group.Status()
-			for _, mst := range sta.Members {
-				if !mst.Learner {
-					voters++
-				}
-			}
-			if voters != count || !isMember(sta, vm) {
+			if countVoters(sta) != count || !isMember(sta, vm) {
 				return false
 			}
 		}
@@ -172,6 +169,20 @@
 	})
 }
 
+func countVoters(sta fpgroup.Status) int {
+	voters := 0
+	for _, mst := range sta.Members {
+		if !mst.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
+func votes(sta fpgroup.Status, vm string) bool {
+	return slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm && !mst.Learner })
+}
+
 // waitForRevision waits until every running VM returns a configuration with the given revision.
 func (clu *cluster) waitForRevision(want uint64) {
 	clu.t.Helper()
@@ -246,8 +257,15 @@
 		}
 	}
 	clu.stop(lost)
-	// The lost VM counts as a voter until it is removed.
-	clu.waitForVoters(4)
+	clu.waitFor("the learner votes in place of the lost VM", func() bool {
+		for _, run := range clu.vms {
+			sta := run.control.group.Status()
+			if countVoters(sta) != 3 || !votes(sta, learner) || votes(sta, lost) {
+				return false
+			}
+		}
+		return true
+	})
 	clu.start(lost, false)
 	clu.waitForVoters(3)
 	clu.waitForRevision(5)
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -17,12 +17,14 @@
 	joinInterval = 500 * time.Millisecond
 	// memberCheckInterval is the time between two checks of the membership.
 	memberCheckInterval = 300 * time.Millisecond
-	// removeAfter is the silence after which a member is removed, if enough voters remain. It joins again when it is back.
+	// nextChangeDelay is the time between a change and the check for the next one. Until a replacement is complete, the voters
+	// tolerate fewer losses. The status of the group, which tells what is due, may be a few milliseconds old.
+	nextChangeDelay = 20 * time.Millisecond
+	// removeAfter is the silence after which a learner is removed. It joins again when it is back.
 	removeAfter = 8 * time.Second
-	// changeTimeout bounds one change of the membership. The next check continues a change that timed out.
-	changeTimeout = 4 * time.Second
-	// replaceVoterAfter is the silence of a voter after which a learner gets a vote in its place.
-	replaceVoterAfter = 4 * time.Second
+	// changeTimeout bounds one change of the membership, which waits for the VM that it concerns. The next check continues it,
+	// unless another one has become more urgent.
+	changeTimeout = time.Second
 	// maxMembers bounds the number of members when there are more control VMs than the configured losses require, because
 	// each log entry goes to all members. Further VMs join when a member is lost.
 	maxMembers = 7
@@ -79,79 +81,137 @@
 	return all
 }
 
+// memberChange is a change of the membership.
+type memberChange struct {
+	// name is the name for the log.
+	name string
+	// vm is the VM that the change concerns.
+	vm string
+	// apply makes the change. It is nil if no change is due.
+	apply func(ctx context.Context, vm string) error
+}
+
 // maintainMembers changes the membership of the group as needed while this VM leads, one change at a time, until ctx ends.
 func (con *Control) maintainMembers(ctx context.Context) {
-	for sleep(ctx, memberCheckInterval) {
-		if !con.leads(ctx) {
-			continue
-		}
-		what, vm, change := con.nextChange()
-		if change == nil {
-			continue
+	pause := memberCheckInterval
+	for sleep(ctx, pause) {
+		pause = memberCheckInterval
+		if con.changeMembers(ctx) {
+			pause = nextChangeDelay
 		}
-		call, cancel := context.WithTimeout(ctx, changeTimeout)
-		err := change(call, vm)
-		cancel()
-		con.cfg.Log.Info("membership changed", zap.String("change", what), zap.String("peer", vm), zap.Error(err))
 	}
 }
 
-// nextChange returns the most urgent change of the membership: its name for the log, the VM that it concerns and the function
-// that makes it, which is nil if no change is due.
-func (con *Control) nextChange() (string, string, func(context.Context, string) error) {
-	sta := con.group.Status()
-	live := con.liveVoters(sta, replaceVoterAfter)
-	for _, mst := range sta.Members {
-		diskLost := mst.Incarnation != 0 && mst.Heard != 0 && mst.Heard != mst.Incarnation
-		if diskLost && !mst.Learner {
-			return "repair", mst.VM, con.group.Repair
+// changeMembers makes the most urgent change of the membership if this VM leads and one is due. It reports whether it made one.
+func (con *Control) changeMembers(ctx context.Context) bool {
+	if !con.leads(ctx) {
+		return false
+	}
+	cha := con.nextChange(con.group.Status())
+	if cha.apply == nil {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := cha.apply(call, cha.vm)
+	con.cfg.Log.Info("membership changed", zap.String("change", cha.name), zap.String("peer", cha.vm), zap.Error(err))
+	return err == nil
+}
+
+// nextChange returns the most urgent change of the membership.
+func (con *Control) nextChange(sta fpgroup.Status) memberChange {
+	live := con.liveVoters(sta)
+	if vm := lostDisk(sta); vm != "" {
+		return memberChange{
+			name:  "repair",
+			vm:    vm,
+			apply: con.group.Repair,
 		}
-		if mst.Learner && live < con.wantedVoters() && !con.silent(mst.VM, silentAfter) {
-			return "vote", mst.VM, con.group.AddVoter
+	}
+	if vm := con.surplusVoter(sta); vm != "" {
+		return memberChange{
+			name:  "demote",
+			vm:    vm,
+			apply: con.group.Demote,
+		}
+	}
+	if vm := con.nextVoter(sta); vm != "" && live < con.wantedVoters() {
+		return memberChange{
+			name:  "vote",
+			vm:    vm,
+			apply: con.group.AddVoter,
 		}
 	}
 	if vm := con.pendingJoin(sta); vm != "" {
 		if live < con.wantedVoters() {
-			return "add", vm, con.group.AddVoter
+			return memberChange{
+				name:  "add",
+				vm:    vm,
+				apply: con.group.AddVoter,
+			}
+		}
+		return memberChange{
+			name:  "follow",
+			vm:    vm,
+			apply: con.group.AddLearner,
 		}
-		return "follow", vm, con.group.AddLearner
 	}
 	if vm := con.removableMember(sta); vm != "" {
-		return "remove", vm, con.group.RemoveVoter
+		return memberChange{
+			name:  "remove",
+			vm:    vm,
+			apply: con.group.RemoveVoter,
+		}
 	}
-	if vm := con.surplusVoter(sta); vm != "" {
-		return "demote", vm, con.group.Demote
+	return memberChange{}
+}
+
+// lostDisk returns a voter that has lost its disk and runs again, or "".
+func lostDisk(sta fpgroup.Status) string {
+	for _, mst := range sta.Members {
+		if !mst.Learner && mst.Incarnation != 0 && mst.Heard != 0 && mst.Heard != mst.Incarnation {
+			return mst.VM
+		}
 	}
-	return "", "", nil
+	return ""
 }
 
-// surplusVoter returns a voter that is not needed, or "". There is one when a lost voter has come back after a learner got a
-// vote in its place.
+// nextVoter returns the learner that has synced most of the log, or "" if all learners are silent.
+func (con *Control) nextVoter(sta fpgroup.Status) string {
+	vm, match := "", uint64(0)
+	for _, mst := range sta.Members {
+		if mst.Learner && !con.silent(mst.VM, con.silentAfter()) && (vm == "" || mst.Match > match) {
+			vm, match = mst.VM, mst.Match
+		}
+	}
+	return vm
+}
+
+// surplusVoter returns the voter other than this VM that has been silent for longest if there are more voters than needed, and ""
+// otherwise. After a learner got a vote in place of a silent voter, the silent one still raises the quorum, so that no further loss
+// is tolerated until it is demoted.
 func (con *Control) surplusVoter(sta fpgroup.Status) string {
-	last, live := "", 0
+	voters, surplus, longest := 0, "", time.Duration(0)
 	for _, mst := range sta.Members {
-		switch {
-		case mst.Learner:
-		case mst.VM != con.cfg.VM && con.silent(mst.VM, silentAfter):
-			return "" // it is not known yet which voters remain
-		default:
-			live++
-			if mst.VM != con.cfg.VM {
-				last = mst.VM
-			}
+		if mst.Learner {
+			continue
+		}
+		voters++
+		if silence := con.silence(mst.VM); mst.VM != con.cfg.VM && silence >= longest {
+			surplus, longest = mst.VM, silence
 		}
 	}
-	if live <= con.wantedVoters() {
+	if voters <= con.wantedVoters() {
 		return ""
 	}
-	return last
+	return surplus
 }
 
-// liveVoters returns the number of voters that are not silent for longer than a duration, with this VM if it is a voter.
-func (con *Control) liveVoters(sta fpgroup.Status, within time.Duration) int {
+// liveVoters returns the number of voters that are not silent, with this VM if it is a voter.
+func (con *Control) liveVoters(sta fpgroup.Status) int {
 	live := 0
 	for _, mst := range sta.Members {
-		if !mst.Learner && (mst.VM == con.cfg.VM || !con.silent(mst.VM, within)) {
+		if !mst.Learner && (mst.VM == con.cfg.VM || !con.silent(mst.VM, con.silentAfter())) {
 			live++
 		}
 	}
@@ -162,7 +222,7 @@
 func (con *Control) pendingJoin(sta fpgroup.Status) string {
 	live := 0
 	for _, mst := range sta.Members {
-		if mst.VM == con.cfg.VM || !con.silent(mst.VM, silentAfter) {
+		if mst.VM == con.cfg.VM || !con.silent(mst.VM, con.silentAfter()) {
 			live++
 		}
 	}
@@ -183,12 +243,10 @@
 	return ""
 }
 
-// removableMember returns a member that has been silent for removeAfter, or "". A voter is returned only if enough live voters
-// for the configured losses remain.
+// removableMember returns a learner that has been silent for removeAfter, or "". A voter loses its vote to a learner before.
 func (con *Control) removableMember(sta fpgroup.Status) string {
 	for _, mst := range sta.Members {
-		removable := mst.Learner || con.liveVoters(sta, silentAfter) >= con.wantedVoters()
-		if removable && mst.VM != con.cfg.VM && con.silent(mst.VM, removeAfter) {
+		if mst.Learner && mst.VM != con.cfg.VM && con.silent(mst.VM, removeAfter) {
 			return mst.VM
 		}
 	}
--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -76,6 +76,7 @@
 			RegionOf:    set.Region,
 			DataCentres: set.DataCentres(),
 			Losses:      set.ToleratedLosses(),
+			CatchUp:     set.Promises().CatchUp,
 			Log:         log,
 			Sync:        sys.Sync,
 		})
