fpcontrol: the silence of a lost control VM outlives the leader

Callers saw: after a control VM was lost, changes of the leader kept it a voter, so that the loss of another VM, after the time to catch up, left the deployment without a leader for good.

Cause: each leader measures the silence of a VM by its own messages, from its first lost one. A new leader began anew.

Change: the leader states the silences that it knows in its messages to the other control VMs.

TestSilenceOutlivesLeader fails without the reports ("silent for 0s after the first lost message, want 5s").

--- a/internal/node/fpcontrol/contact.go
+++ b/internal/node/fpcontrol/contact.go
@@ -4,6 +4,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
 const (
@@ -21,15 +25,29 @@
 	// failed.
 	failingSince time.Time
 	lastFailure  time.Time
+	// reportedSince is since when the VM has taken no messages of a leader, by its last report, which came at reportedAt. Both are
+	// zero if there was none.
+	reportedSince time.Time
+	reportedAt    time.Time
 }
 
 // fail returns the contact after a message, sent at the given time, has failed now. Failures before a pause without messages
-// don't count, because the VM may have been reachable meanwhile.
+// don't count, because the VM may have been reachable meanwhile. A recent report of a leader lengthens the silence, because each
+// change of the leader would begin it anew otherwise.
 func (con contact) fail(sent, now time.Time) contact {
 	if con.failingSince.IsZero() || sent.Sub(con.lastFailure) > contactTimeout {
 		con.failingSince = sent
 	}
 	con.lastFailure = now
+	if now.Sub(con.reportedAt) <= contactTimeout && con.reportedSince.Before(con.failingSince) {
+		con.failingSince = con.reportedSince
+	}
+	return con
+}
+
+// report returns the contact after a leader has reported a silence of the VM. It counts once a message of this VM fails, too.
+func (con contact) report(length time.Duration, now time.Time) contact {
+	con.reportedSince, con.reportedAt = now.Add(-length), now
 	return con
 }
 
@@ -60,6 +78,38 @@
 	con.contacts[vm] = contact{}
 }
 
+// silences returns the control VMs that take no messages of this VM, if it leads.
+func (con *Control) silences() []*fpstate.Silence {
+	if con.group.Status().Role != fpgroup.Leader {
+		return nil
+	}
+	now := time.Now()
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	var all []*fpstate.Silence
+	for vm, cnt := range con.contacts {
+		if silence := cnt.silence(now); silence > 0 {
+			all = append(all, &fpstate.Silence{
+				Vm:     vm,
+				Length: durationpb.New(silence),
+			})
+		}
+	}
+	return all
+}
+
+// recordSilences records the silences that a leader reports.
+func (con *Control) recordSilences(all []*fpstate.Silence) {
+	now := time.Now()
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	for _, sil := range all {
+		if length := sil.GetLength().AsDuration(); sil.GetVm() != con.cfg.VM && length > 0 {
+			con.contacts[sil.GetVm()] = con.contacts[sil.GetVm()].report(length, now)
+		}
+	}
+}
+
 // silentAfter returns the silence after which a control VM counts as lost. It is half of CatchUp: the other half is for an election
 // before and the changes of the membership after it.
 func (con *Control) silentAfter() time.Duration {
--- a/internal/node/fpcontrol/contact_test.go
+++ b/internal/node/fpcontrol/contact_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
 // TestNoSilenceWithoutMessages guards against a new leader that takes other control VMs for lost, and removes them, because it has
@@ -58,3 +61,56 @@
 		})
 	}
 }
+
+// TestSilenceOutlivesLeader guards against a lost control VM whose silence begins anew with each leader, so that it keeps its vote for
+// as long as leaders change.
+func TestSilenceOutlivesLeader(t *testing.T) {
+	lost := errors.New("connection refused")
+	for _, tes := range []struct {
+		name string
+		// taken is the result of a message of the new leader before its first lost one.
+		taken bool
+		// pause is the time between the last report and the first message of the new leader.
+		pause time.Duration
+		want  time.Duration
+	}{
+		{
+			name: "reported and not reached",
+			want: 5 * time.Second,
+		},
+		{
+			name:  "reported and reached",
+			taken: true,
+		},
+		{
+			name:  "report is old",
+			pause: contactTimeout + time.Second,
+		},
+	} {
+		t.Run(tes.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				con := &Control{
+					cfg: Config{
+						Log: zap.NewNop(),
+					},
+					contacts: map[string]contact{},
+				}
+				con.recordSilences([]*fpstate.Silence{{
+					Vm:     "other",
+					Length: durationpb.New(5 * time.Second),
+				}})
+				if con.silent("other", 0) {
+					t.Error("silent by a report alone")
+				}
+				time.Sleep(tes.pause)
+				if tes.taken {
+					con.recordContact("other", time.Now(), nil)
+				}
+				con.recordContact("other", time.Now(), lost)
+				if got := con.silence("other"); got != tes.want {
+					t.Errorf("silent for %v after the first lost message, want %v", got, tes.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -125,7 +125,7 @@
 	mutex        sync.Mutex
 	seeds        []string
 	peers        map[string]fpstateconnect.StateServiceClient
-	contacts     map[string]contact   // by control VM to which a message was sent
+	contacts     map[string]contact   // by control VM to which a message was sent or whose silence was reported
 	joinRequests map[string]time.Time // when a VM last asked to join
 	// pendingLeaving are the upstreams of which a commit that they leave is in flight.
 	pendingLeaving map[string]bool
@@ -334,6 +334,7 @@
 	began := time.Now()
 	_, err := con.peer(vm).Step(ctx, connect.NewRequest(&fpstate.StepRequest{
 		Messages: msgs,
+		Silences: con.silences(),
 	}))
 	con.recordContact(vm, began, err)
 }
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -89,13 +89,14 @@
 	con *Control
 }
 
-// Step passes consensus messages to the group. Messages for other VMs are dropped.
+// Step passes consensus messages to the group, and records the silences that a leader reports. Messages for other VMs are dropped.
 func (ser *service) Step(_ context.Context, req *connect.Request[fpstate.StepRequest]) (*connect.Response[fpstate.StepResponse], error) {
 	for _, msg := range req.Msg.GetMessages() {
 		if msg.GetTo() == ser.con.cfg.VM {
 			ser.con.group.Step(msg)
 		}
 	}
+	ser.con.recordSilences(req.Msg.GetSilences())
 	return connect.NewResponse(&fpstate.StepResponse{}), nil
 }
 
