fpcontrol: a control VM that stops hands over its vote

Callers saw: after the planned replacement of a control VM and the time of its successor to catch up, the loss of another VM's disk left the deployment without a leader for good.

Cause: the successor starts before the stop, so that the time to catch up is over when the stopped VM has been silent for only a part of the time after which it loses its vote. Its leader knew nothing of the stop. Besides, a transfer of the leadership could choose a VM that stops as well, and a vote could be offered to a learner that had just been lost, which takes a second.

Evidence: TestLossesInTurn, which plays losses, one after the other, on real groups with a simulated network: VMs are killed and replaced, replaced as planned, or cut off, and then as many lose their disks.

Change: at its stop, a VM tells all other members that it leaves, by a field of JoinRequest. They take it for lost for 2 s: the leader gives a learner its vote and demotes it, and no leadership is transferred to it. The VM waits for that for at most 1 s, and for 2 s with the transfer; without a learner it doesn't wait. Leaders choose only VMs that took their last message as the next voter or the next leader.

--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -55,7 +55,7 @@
 	controlTimeout = 900 * time.Millisecond
 	// dialTimeout bounds opening a connection to a VM, which may be unreachable. The longest round trip takes 60 ms.
 	dialTimeout = 300 * time.Millisecond
-	// stopTimeout bounds each step of a graceful stop: handing over the leadership and ending the server.
+	// stopTimeout bounds each step of a graceful stop: handing over the leadership and the vote, and ending the server.
 	stopTimeout = 2 * time.Second
 )
 
@@ -127,6 +127,8 @@
 	peers        map[string]fpstateconnect.StateServiceClient
 	contacts     map[string]contact   // by control VM to which a message was sent or whose silence was reported
 	joinRequests map[string]time.Time // when a VM last asked to join
+	// leaveRequests holds when a VM last said that it is about to stop.
+	leaveRequests map[string]time.Time
 	// pendingLeaving are the upstreams of which a commit that they leave is in flight.
 	pendingLeaving map[string]bool
 	leaderChange   chan struct{}    // closed and replaced when the leadership of the group changes
@@ -151,6 +153,7 @@
 		peers:         map[string]fpstateconnect.StateServiceClient{},
 		contacts:      map[string]contact{},
 		joinRequests:  map[string]time.Time{},
+		leaveRequests: map[string]time.Time{},
 
 		pendingLeaving: map[string]bool{},
 		leaderChange:   make(chan struct{}),
@@ -267,7 +270,7 @@
 	case err = <-groupDone:
 	case err = <-served:
 	case <-ctx.Done():
-		con.handOverLeadership()
+		con.handOver()
 	}
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
@@ -282,19 +285,6 @@
 	return errors.CombineErrors(err, con.storage.Close())
 }
 
-// handOverLeadership transfers the leadership before the process ends, so that no election has to wait for the lease to
-// expire.
-func (con *Control) handOverLeadership() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if con.group.Status().Role != fpgroup.Leader {
-		return
-	}
-	if err := con.group.TransferLeadership(ctx, ""); err != nil {
-		con.cfg.Log.Warn("transfer of the leadership failed", zap.Error(err))
-	}
-}
-
 func (con *Control) handler() http.Handler {
 	mux := http.NewServeMux()
 	con.calls.Register(mux)
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -30,6 +31,12 @@
 	maxMembers = 7
 	// joinRequestTimeout is how long a request to join stays pending.
 	joinRequestTimeout = 2 * time.Second
+	// leaveTimeout bounds how long a VM that stops waits until a learner has its vote.
+	leaveTimeout = time.Second
+	// leaveInterval is the time between two requests of a VM that stops.
+	leaveInterval = 100 * time.Millisecond
+	// leaveRequestTimeout is how long the leader takes a VM that stops for lost. Afterwards its silence counts.
+	leaveRequestTimeout = 2 * time.Second
 )
 
 // join asks the other control VMs to add this VM to the group whenever it is not a member or knows no leader, until ctx ends.
@@ -53,6 +60,131 @@
 	}
 }
 
+// handOver gives the leadership and the vote of this VM, which stops, to other VMs, so that no election has to wait for the lease to
+// expire and the deployment tolerates no loss less. It takes at most stopTimeout.
+func (con *Control) handOver() {
+	ctx, cancelAll := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelAll()
+	con.announceLeave(ctx)
+	con.handOverLeadership(ctx)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for {
+		sta := con.group.Status()
+		switch {
+		case sta.Role == fpgroup.Leader && con.nextLeader(sta) == "":
+			return
+		case sta.Role == fpgroup.Leader:
+			// The transfer failed, or another VM that stops has transferred the leadership to this one.
+			con.handOverLeadership(ctx)
+		case !isVoter(sta, con.cfg.VM) || countLearners(sta) == 0:
+			return
+		case sta.Leader != "":
+			con.requestLeave(ctx, sta.Leader)
+		}
+		if !sleep(ctx, leaveInterval) {
+			con.cfg.Log.Warn("no learner got the vote of this VM", zap.Duration("within", leaveTimeout))
+			return
+		}
+	}
+}
+
+// announceLeave tells all other members that this VM is about to stop, because each of them may be the next leader.
+func (con *Control) announceLeave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, mst := range con.group.Status().Members {
+		if mst.VM != con.cfg.VM {
+			calls.Go(func() { con.requestLeave(ctx, mst.VM) })
+		}
+	}
+	calls.Wait()
+}
+
+// requestLeave tells another control VM that this one is about to stop.
+func (con *Control) requestLeave(ctx context.Context, vm string) {
+	_, err := con.peer(vm).Join(ctx, connect.NewRequest(&fpstate.JoinRequest{
+		Vm:      con.cfg.VM,
+		Level:   con.level,
+		Leaving: true,
+	}))
+	if err != nil {
+		con.cfg.Log.Warn("control VM was not told that this one stops", zap.String("peer", vm), zap.Error(err))
+	}
+}
+
+// handOverLeadership transfers the leadership to the voter that has synced most of the log and does not stop, if this VM leads.
+func (con *Control) handOverLeadership(ctx context.Context) {
+	sta := con.group.Status()
+	if sta.Role != fpgroup.Leader {
+		return
+	}
+	if err := con.group.TransferLeadership(ctx, con.nextLeader(sta)); err != nil {
+		con.cfg.Log.Warn("transfer of the leadership failed", zap.Error(err))
+	}
+}
+
+// nextLeader returns the other voter that has synced most of the log, or "" if none is reached.
+func (con *Control) nextLeader(sta fpgroup.Status) string {
+	vm, match := "", uint64(0)
+	for _, mst := range sta.Members {
+		if !mst.Learner && mst.VM != con.cfg.VM && con.absence(mst.VM) == 0 && (vm == "" || mst.Match > match) {
+			vm, match = mst.VM, mst.Match
+		}
+	}
+	return vm
+}
+
+func isVoter(sta fpgroup.Status, vm string) bool {
+	return slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm && !mst.Learner })
+}
+
+func countLearners(sta fpgroup.Status) int {
+	count := 0
+	for _, mst := range sta.Members {
+		if mst.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+// recordJoin records that a control VM asks to become a member.
+func (con *Control) recordJoin(vm string) {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	con.joinRequests[vm] = time.Now()
+	delete(con.leaveRequests, vm)
+}
+
+// recordLeave records that a control VM is about to stop.
+func (con *Control) recordLeave(vm string) {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	con.leaveRequests[vm] = time.Now()
+}
+
+// absence returns for how long a control VM has taken no message. A VM that is about to stop counts as lost already.
+func (con *Control) absence(vm string) time.Duration {
+	silence := con.silence(vm)
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	at, leaves := con.leaveRequests[vm]
+	if !leaves {
+		return silence
+	}
+	since := time.Since(at)
+	if since > leaveRequestTimeout {
+		delete(con.leaveRequests, vm)
+		return silence
+	}
+	return max(silence, con.silentAfter()+since+1)
+}
+
+// absent reports whether a control VM counts as lost for the distribution of the votes.
+func (con *Control) absent(vm string) bool { return con.absence(vm) > con.silentAfter() }
+
 func isMember(sta fpgroup.Status, vm string) bool {
 	return slices.ContainsFunc(sta.Members, func(mst fpgroup.MemberStatus) bool { return mst.VM == vm })
 }
@@ -176,18 +308,19 @@
 	return ""
 }
 
-// nextVoter returns the learner that has synced most of the log, or "" if all learners are silent.
+// nextVoter returns the learner that has synced most of the log, or "" if none is reached. A change waits for its VM in vain if that
+// one has just been lost.
 func (con *Control) nextVoter(sta fpgroup.Status) string {
 	vm, match := "", uint64(0)
 	for _, mst := range sta.Members {
-		if mst.Learner && !con.silent(mst.VM, con.silentAfter()) && (vm == "" || mst.Match > match) {
+		if mst.Learner && con.absence(mst.VM) == 0 && (vm == "" || mst.Match > match) {
 			vm, match = mst.VM, mst.Match
 		}
 	}
 	return vm
 }
 
-// surplusVoter returns the voter other than this VM that has been silent for longest if there are more voters than needed, and ""
+// surplusVoter returns the voter other than this VM that has been absent for longest if there are more voters than needed, and ""
 // otherwise. After a learner got a vote in place of a silent voter, the silent one still raises the quorum, so that no further loss
 // is tolerated until it is demoted.
 func (con *Control) surplusVoter(sta fpgroup.Status) string {
@@ -197,8 +330,8 @@
 			continue
 		}
 		voters++
-		if silence := con.silence(mst.VM); mst.VM != con.cfg.VM && silence >= longest {
-			surplus, longest = mst.VM, silence
+		if absence := con.absence(mst.VM); mst.VM != con.cfg.VM && absence >= longest {
+			surplus, longest = mst.VM, absence
 		}
 	}
 	if voters <= con.wantedVoters() {
@@ -207,11 +340,11 @@
 	return surplus
 }
 
-// liveVoters returns the number of voters that are not silent, with this VM if it is a voter.
+// liveVoters returns the number of voters that are not absent, with this VM if it is a voter.
 func (con *Control) liveVoters(sta fpgroup.Status) int {
 	live := 0
 	for _, mst := range sta.Members {
-		if !mst.Learner && (mst.VM == con.cfg.VM || !con.silent(mst.VM, con.silentAfter())) {
+		if !mst.Learner && (mst.VM == con.cfg.VM || !con.absent(mst.VM)) {
 			live++
 		}
 	}
@@ -222,7 +355,7 @@
 func (con *Control) pendingJoin(sta fpgroup.Status) string {
 	live := 0
 	for _, mst := range sta.Members {
-		if mst.VM == con.cfg.VM || !con.silent(mst.VM, con.silentAfter()) {
+		if mst.VM == con.cfg.VM || !con.absent(mst.VM) {
 			live++
 		}
 	}
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -100,7 +100,8 @@
 	return connect.NewResponse(&fpstate.StepResponse{}), nil
 }
 
-// Join records that a control VM asks to become a member, if this VM leads; maintainMembers adds it later.
+// Join records that a control VM asks to become a member, if this VM leads, or that it stops; maintainMembers changes the membership
+// later.
 func (ser *service) Join(ctx context.Context, req *connect.Request[fpstate.JoinRequest]) (*connect.Response[fpstate.JoinResponse], error) {
 	con := ser.con
 	con.levels.record(req.Msg.GetVm(), req.Msg.GetLevel())
@@ -108,10 +109,12 @@
 	res := &fpstate.JoinResponse{
 		Leader: sta.Leader,
 	}
+	if req.Msg.GetLeaving() {
+		con.recordLeave(req.Msg.GetVm())
+		return connect.NewResponse(res), nil
+	}
 	if con.leads(ctx) {
-		con.mutex.Lock()
-		con.joinRequests[req.Msg.GetVm()] = time.Now()
-		con.mutex.Unlock()
+		con.recordJoin(req.Msg.GetVm())
 		res.Member = isMember(sta, req.Msg.GetVm())
 	}
 	return connect.NewResponse(res), nil
