fpgate: changed limits apply to open connections

Cause: each change of the limits started another http.Server for later connections. Open ones kept the largest header and the timeouts of theirs. Changes were also looked for only every 2 s.

Change: one http.Server without limits; callerConn counts the bytes of each header, answers 431 beyond the newest limit, and sets the deadlines of headers and idle connections, which a change resets. It tells what the server waits for from the distance of the deadline that the server sets. Limits change when a configuration comes into force. The limit of relayed requests follows that of callers.

--- a/internal/node/fpgate/caller.go
+++ b/internal/node/fpgate/caller.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +26,14 @@
 	// closeLinger is how long Close waits for the caller to read the last answer when pipelined requests are unread. Closing
 	// at once would reset the connection and lose the answer.
 	closeLinger = 300 * time.Millisecond
+	// refusalTimeout bounds writing the answer to a header that is too large.
+	refusalTimeout = 300 * time.Millisecond
 )
 
+// refusedHeaderAnswer is the answer to a header that is larger than the limit, as net/http words it.
+const refusedHeaderAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
+	"Connection: close\r\n\r\n431 Request Header Fields Too Large"
+
 // callerConn is the connection of a caller that may pipeline requests. The HTTP server stops watching for the end of a
 // connection at the first byte of the next request, and reads the rest only at that request's turn. callerConn reads on in
 // the meantime, to notice when the caller disconnects, and begins pipelined requests that may run more than once, so that
@@ -36,6 +44,8 @@
 	cancel context.CancelFunc
 	// onClose is called when this VM has closed the connection.
 	onClose func()
+	// onRefusedHeader is called when a header was larger than the limit.
+	onRefusedHeader func()
 	// beginPipelined begins a request before its turn, or returns nil if the request has to wait for its turn. Nil: no
 	// request is begun early.
 	beginPipelined func(req *http.Request, arrived time.Time) *fpforward.PipelinedRequest
@@ -44,7 +54,10 @@
 	state         http.ConnState
 	stateSince    time.Time // when state was set
 	arriving      bool      // bytes of a request were read whose turn has not come; requests does not hold them after a body
-	deadline      time.Time // read deadline that the server has set
+	limits        limits
+	header        headerProgress
+	refused       atomic.Bool // the header was too large; the server gets no more bytes, and its answers are dropped
+	deadline      time.Time   // read deadline that the server has set
 	requests      requestBuffer
 	readErr       error                         // read error that ended the connection; reported after the bytes in requests
 	readAheadDone chan struct{}                 // closed when the read-ahead in progress ends; nil when there is none
@@ -59,9 +72,25 @@
 		cancel:     func() {},
 		onClose:    func() {},
 		stateSince: time.Now(),
+		limits:     newLimits(nil),
+
+		onRefusedHeader: func() {},
 	}
 }
 
+// setLimits applies limits, also to what the server waits for now.
+func (con *callerConn) setLimits(lim limits) {
+	con.mutex.Lock()
+	defer con.mutex.Unlock()
+	con.limits = lim
+	if con.header.phase != phaseRequest && con.readAheadDone == nil {
+		_ = con.Conn.SetReadDeadline(con.readDeadline()) // it fails only on a closed connection, which its server removes
+	}
+}
+
+// readDeadline returns the read deadline that is in force outside of a read-ahead. The caller holds the mutex.
+func (con *callerConn) readDeadline() time.Time { return con.header.deadline(con.limits, con.deadline) }
+
 // setState records the state that the HTTP server reports for the connection.
 func (con *callerConn) setState(now time.Time, sta http.ConnState) {
 	con.mutex.Lock()
@@ -114,9 +143,14 @@
 func (con *callerConn) Read(buf []byte) (int, error) {
 	con.stopReadAhead()
 	con.mutex.Lock()
+	if con.refused.Load() || con.header.exceeds(con.limits) {
+		con.mutex.Unlock()
+		return 0, con.refuseHeader()
+	}
 	if con.requests.undelivered() > 0 {
 		defer con.mutex.Unlock()
 		num := con.requests.deliver(buf)
+		con.header.add(num)
 		con.startReadAhead(buf)
 		return num, nil
 	}
@@ -139,12 +173,33 @@
 			con.readErr, err = err, nil // reported after the buffered bytes
 		}
 	}
+	con.header.add(num)
 	if num > 0 {
 		con.startReadAhead(buf)
 	}
 	return num, err
 }
 
+// refuseHeader answers a header that is larger than the limit, once, and returns the error that makes the server close the connection
+// without an answer of its own.
+func (con *callerConn) refuseHeader() error {
+	if con.refused.CompareAndSwap(false, true) {
+		con.onRefusedHeader()
+		if con.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
+			_, _ = io.WriteString(con.Conn, refusedHeaderAnswer) // the connection ends in any case
+		}
+	}
+	return os.ErrDeadlineExceeded
+}
+
+// Write implements net.Conn. After a refused header it drops what the server makes of the part that it has got.
+func (con *callerConn) Write(buf []byte) (int, error) {
+	if con.refused.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return con.Conn.Write(buf)
+}
+
 // startReadAhead reads ahead after a read of a single byte, which the server makes while a request is in progress. The
 // caller holds the mutex.
 func (con *callerConn) startReadAhead(buf []byte) {
@@ -193,7 +248,7 @@
 // beginPipelinedRequests begins the buffered requests that may run before their turn. The caller holds the mutex.
 func (con *callerConn) beginPipelinedRequests() {
 	for con.beginPipelined != nil && len(con.pipelined) < maxPipelined {
-		req, arrived := con.requests.nextPipelined()
+		req, arrived := con.requests.nextPipelined(con.limits.maxHeaderBytes)
 		if req == nil {
 			return
 		}
@@ -211,7 +266,6 @@
 func (con *callerConn) stopReadAhead() {
 	con.mutex.Lock()
 	done := con.readAheadDone
-	con.readAheadDone = nil
 	con.mutex.Unlock()
 	if done == nil {
 		return
@@ -221,18 +275,23 @@
 	<-done
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
-	_ = con.Conn.SetReadDeadline(con.deadline) // the next read reports a closed connection
+	if con.readAheadDone == done {
+		con.readAheadDone = nil
+	}
+	_ = con.Conn.SetReadDeadline(con.readDeadline()) // the next read reports a closed connection
 }
 
-// SetReadDeadline implements net.Conn. The deadline does not apply to a read-ahead in progress.
+// SetReadDeadline implements net.Conn. The limits replace the timeouts of the server. The deadline does not apply to a read-ahead in
+// progress.
 func (con *callerConn) SetReadDeadline(at time.Time) error {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
 	con.deadline = at
+	con.header.begin(at, time.Now())
 	if con.readAheadDone != nil {
 		return nil
 	}
-	return con.Conn.SetReadDeadline(at)
+	return con.Conn.SetReadDeadline(con.readDeadline())
 }
 
 // CloseWrite ends the answers and leaves the connection open for reading.
@@ -260,12 +319,13 @@
 	}
 }
 
-// Close implements net.Conn. When pipelined requests are unread it waits up to closeLinger for the caller to read the last
-// answer.
+// Close implements net.Conn. When pipelined requests or a part of a header are unread it waits up to closeLinger for the caller to
+// read the last answer.
 func (con *callerConn) Close() error {
 	defer con.onClose()
 	con.mutex.Lock()
-	linger := len(con.requests.buf) > 0 && !con.requests.hadBody && con.readErr == nil && !con.resetOnClose
+	unread := len(con.requests.buf) > 0 && !con.requests.hadBody && con.readErr == nil
+	linger := (unread || con.refused.Load()) && !con.resetOnClose
 	begun := con.pipelined
 	con.pipelined = nil
 	con.mutex.Unlock()
--- a/internal/node/fpgate/caller_test.go
+++ b/internal/node/fpgate/caller_test.go
@@ -51,11 +51,7 @@
 	pip.servers = srv
 	served := make(chan error, 1)
 	go func() { served <- srv.serve() }()
-	pip.con, err = net.Dial("tcp", lis.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	pip.reader = bufio.NewReader(pip.con)
+	pip.connect()
 	t.Cleanup(func() {
 		_ = pip.con.Close() // the test may have closed it
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -68,6 +64,16 @@
 	return pip
 }
 
+// connect opens the connection.
+func (pip *pipeline) connect() {
+	pip.t.Helper()
+	con, err := net.Dial("tcp", pip.servers.listener.Addr().String())
+	if err != nil {
+		pip.t.Fatal(err)
+	}
+	pip.con, pip.reader = con, bufio.NewReader(con)
+}
+
 // takeTurn takes the turn of a request as the forwarder does, and records the wait for it.
 func (pip *pipeline) takeTurn(req *http.Request) {
 	wait := time.Since(fpforward.TurnOf(req).Arrived)
--- a/internal/node/fpgate/fuzz_test.go
+++ b/internal/node/fpgate/fuzz_test.go
@@ -27,7 +27,7 @@
 		rqb.add(all, time.Now())
 		red := bufio.NewReader(bytes.NewReader(all))
 		for {
-			got, _ := rqb.nextPipelined()
+			got, _ := rqb.nextPipelined(defaultMaxHeaderBytes)
 			if got == nil {
 				return
 			}
--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -19,7 +21,7 @@
 )
 
 const (
-	// trimInterval is the time between closing idle connections to upstreams. The limits for callers are updated as often.
+	// trimInterval is the time between closing idle connections to upstreams.
 	trimInterval = 2 * time.Second
 	// stopMargin is the part of the stop time that is reserved for the end of the process.
 	stopMargin = 700 * time.Millisecond
@@ -44,6 +46,8 @@
 	servers   *servers
 	// relay serves the requests that other entry VMs cannot send themselves.
 	relay *servers
+	// refusedHeaders counts the requests whose header was larger than the limit.
+	refusedHeaders atomic.Int64
 }
 
 // New returns the entry VM with the given settings.
@@ -75,6 +79,12 @@
 // Forwarder returns the handler of callers' requests.
 func (gat *Gate) Forwarder() *fpforward.Forwarder { return gat.forwarder }
 
+// WriteMetrics writes all metrics as lines with a name and a value. Errors of the writer are ignored.
+func (gat *Gate) WriteMetrics(out io.Writer) {
+	gat.forwarder.WriteMetrics(out)
+	fmt.Fprintf(out, "refusedHeaders %d\n", gat.refusedHeaders.Load())
+}
+
 // SetSeeds replaces the seed addresses, by which control VMs are found.
 func (gat *Gate) SetSeeds(seeds []string) { gat.watcher.setSeeds(seeds) }
 
@@ -109,9 +119,7 @@
 		Region:     gat.set.Region(gat.set.DataCentre()),
 	}
 	gat.relay = newServers(relay, http.HandlerFunc(gat.serveRelayed))
-	gat.relay.setLimits(&fpstate.Limits{
-		MaxHeaderBytes: http.DefaultMaxHeaderBytes, // the other VM has bounded the header
-	})
+	gat.relay.setLimits(relayLimits(nil))
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	mux := http.NewServeMux()
@@ -124,6 +132,11 @@
 	gat.servers = newServers(callers, gat.forwarder)
 	gat.servers.readBuffer = gat.forwarder.CallerReadBuffer()
 	gat.servers.beginPipelined = gat.forwarder.BeginPipelined
+	gat.servers.onRefusedHeader = func() { gat.refusedHeaders.Add(1) }
+	gat.watcher.configured = func(cfg *fpstate.Configuration) {
+		gat.servers.setLimits(cfg.GetLimits())
+		gat.relay.setLimits(relayLimits(cfg.GetLimits()))
+	}
 	failed := make(chan error, 3)
 	go func() { failed <- readiness.Serve(ready) }()
 	go func() { failed <- gat.servers.serve() }()
@@ -144,6 +157,14 @@
 	return err
 }
 
+// relayLimits returns the limits for requests of other entry VMs, with the limits of a configuration for callers. The other VM has
+// bounded the header, perhaps by another configuration, and has added lines to it.
+func relayLimits(lim *fpstate.Limits) *fpstate.Limits {
+	return &fpstate.Limits{
+		MaxHeaderBytes: max(http.DefaultMaxHeaderBytes, 2*lim.GetMaxHeaderBytes()),
+	}
+}
+
 // reachableAddress returns the address of a listener for other VMs, or "" if it listens on all addresses of this VM, so that
 // others cannot tell by which they reach it.
 func reachableAddress(address net.Addr) string {
@@ -186,12 +207,10 @@
 	}
 }
 
-// trim closes idle connections to upstreams that are no longer needed, and applies changed limits for callers, until ctx
-// ends.
+// trim closes idle connections to upstreams that are no longer needed, until ctx ends.
 func (gat *Gate) trim(ctx context.Context) {
 	for sleep(ctx, trimInterval) {
 		gat.forwarder.CloseExpired(time.Now())
-		gat.servers.setLimits(gat.forwarder.Configuration().GetLimits())
 	}
 }
 
--- a/internal/node/fpgate/requests.go
+++ b/internal/node/fpgate/requests.go
@@ -114,8 +114,8 @@
 }
 
 // nextPipelined returns the next request that may be begun before its turn and the time at which it was read, or nil. The
-// request has no body and is one that the server certainly accepts.
-func (rqb *requestBuffer) nextPipelined() (*http.Request, time.Time) {
+// request has no body and is one that the server certainly accepts, with a header of at most maxHeader bytes.
+func (rqb *requestBuffer) nextPipelined(maxHeader int) (*http.Request, time.Time) {
 	if rqb.hadBody || rqb.pipelineStopped {
 		return nil, time.Time{}
 	}
@@ -127,7 +127,7 @@
 	}
 	red := bufio.NewReader(bytes.NewReader(rest[:end]))
 	req, err := http.ReadRequest(red)
-	if err != nil || red.Buffered() > 0 || !isPlainGet(req) {
+	if err != nil || red.Buffered() > 0 || end > maxHeader || !isPlainGet(req) {
 		rqb.pipelineStopped = true
 		return nil, time.Time{}
 	}
--- a/internal/node/fpgate/requests_test.go
+++ b/internal/node/fpgate/requests_test.go
@@ -42,7 +42,7 @@
 			rqb.add([]byte(test.next), time.Now())
 			var paths []string
 			for {
-				req, _ := rqb.nextPipelined()
+				req, _ := rqb.nextPipelined(defaultMaxHeaderBytes)
 				if req == nil {
 					break
 				}
@@ -62,7 +62,7 @@
 	server := make([]byte, 4096)
 	rqb.deliver(server)
 	rqb.advance(time.Now(), true)
-	if req, _ := rqb.nextPipelined(); req != nil {
+	if req, _ := rqb.nextPipelined(defaultMaxHeaderBytes); req != nil {
 		t.Errorf("%s was begun from the bytes of a body", req.URL)
 	}
 	rest := ""
--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -160,7 +160,7 @@
 	mux.HandleFunc("GET /metrics", func(wri http.ResponseWriter, _ *http.Request) {
 		writeProcessMetrics(wri, logWriter)
 		if gat != nil {
-			gat.forwarder.WriteMetrics(wri)
+			gat.WriteMetrics(wri)
 		}
 		if con != nil {
 			con.WriteMetrics(wri)
--- a/internal/node/fpgate/servers.go
+++ b/internal/node/fpgate/servers.go
@@ -5,6 +5,7 @@
 	"io"
 	"log"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -26,28 +27,33 @@
 	acceptGrace = 50 * time.Millisecond
 )
 
-// defaultMaxHeaderBytes is the largest header of a request that is accepted, until a configuration sets another size.
-const defaultMaxHeaderBytes = 64 << 10
+// Timeouts of the http.Server. Its limits cannot change while it runs, so that a callerConn applies the newest ones instead. It tells
+// from the distance of a read deadline for which of both the server waits; neither is ever reached.
+const (
+	serverHeaderTimeout = 876_000 * time.Hour
+	serverIdleTimeout   = serverHeaderTimeout / 2
+)
 
-// servers serves one listener with the limits of the newest configuration. The limits of an http.Server cannot change while
-// it runs, so each change starts another server for later connections. A server whose connections have ended leaves no
-// goroutine behind.
+// servers serves one listener with the limits of the newest configuration, which apply to open connections, too.
 type servers struct {
 	listener net.Listener
-	handler  http.Handler
 	// beginPipelined begins a request before its turn on the connection of ctx, or returns nil if the request has to wait
 	// for its turn. Nil: no request is begun early.
 	beginPipelined func(ctx context.Context, req *http.Request, arrived time.Time) *fpforward.PipelinedRequest
 
+	// onRefusedHeader is called when the header of a request was larger than the limit. It is set before serve.
+	onRefusedHeader func()
+
 	// readBuffer is the size in bytes of the receive buffer of connections, or 0 for the system's default. It is set before serve.
 	readBuffer int
 
 	stopping atomic.Bool
 
+	queue *queueListener // listener of the http.Server
+	conns connSet
+
 	mutex  sync.RWMutex
 	limits limits
-	queue  *queueListener // listener of the newest server
-	conns  connSet
 }
 
 // connSet holds the open connections of callers.
@@ -74,74 +80,45 @@
 	return slices.Collect(maps.Keys(cos.all))
 }
 
-// limits bound what a caller may send and how long it may take.
-type limits struct {
-	maxHeaderBytes int
-	headerTimeout  time.Duration
-	idleTimeout    time.Duration
-}
-
 // newServers returns servers for a listener, with default limits. Nothing is accepted before serve.
 func newServers(lis net.Listener, han http.Handler) *servers {
 	srv := &servers{
 		listener: lis,
-		handler:  han,
+		queue:    newQueueListener(lis.Addr()),
 		conns: connSet{
 			all: map[*callerConn]bool{},
 		},
-	}
-	srv.startServer(limits{
-		maxHeaderBytes: defaultMaxHeaderBytes,
-		headerTimeout:  defaultHeaderTimeout,
-		idleTimeout:    defaultIdleTimeout,
-	})
-	return srv
-}
+		limits: newLimits(nil),
 
-// startServer starts an http.Server with the given limits, which takes all later connections. The caller holds the mutex,
-// unless srv is not shared yet.
-func (srv *servers) startServer(lim limits) {
-	srv.limits = lim
-	if srv.queue != nil {
-		srv.queue.stop()
+		onRefusedHeader: func() {},
 	}
-	srv.queue = newQueueListener(srv.listener.Addr())
 	server := &http.Server{
-		Handler:           srv.handler,
-		MaxHeaderBytes:    lim.maxHeaderBytes,
-		ReadHeaderTimeout: lim.headerTimeout,
-		IdleTimeout:       lim.idleTimeout,
+		Handler:           han,
+		MaxHeaderBytes:    math.MaxInt32,
+		ReadHeaderTimeout: serverHeaderTimeout,
+		IdleTimeout:       serverIdleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 		ConnContext:       srv.connContext,
 		ConnState:         srv.connState,
 		// The library would answer OPTIONS * itself with a success that no upstream has given.
 		DisableGeneralOptionsHandler: true,
 	}
-	next := srv.queue
 	// Serve ends when its listener is stopped, and returns no other error.
-	go func() { _ = server.Serve(next) }()
+	go func() { _ = server.Serve(srv.queue) }()
+	return srv
 }
 
-// setLimits applies the limits of a configuration; 0 means the default.
+// setLimits applies the limits of a configuration to all connections; 0 means the default.
 func (srv *servers) setLimits(lim *fpstate.Limits) {
-	next := limits{
-		maxHeaderBytes: int(lim.GetMaxHeaderBytes()),
-		headerTimeout:  lim.GetHeaderTimeout().AsDuration(),
-		idleTimeout:    lim.GetIdleTimeout().AsDuration(),
-	}
-	if next.maxHeaderBytes <= 0 {
-		next.maxHeaderBytes = defaultMaxHeaderBytes
-	}
-	if next.headerTimeout <= 0 {
-		next.headerTimeout = defaultHeaderTimeout
-	}
-	if next.idleTimeout <= 0 {
-		next.idleTimeout = defaultIdleTimeout
-	}
+	next := newLimits(lim)
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
-	if next != srv.limits {
-		srv.startServer(next)
+	if next == srv.limits {
+		return
+	}
+	srv.limits = next
+	for _, con := range srv.conns.list() {
+		con.setLimits(next)
 	}
 }
 
@@ -160,16 +137,18 @@
 	}
 }
 
-// enqueue passes a connection to the newest server.
+// enqueue passes a connection to the http.Server.
 func (srv *servers) enqueue(con net.Conn) {
 	if tcp, ok := con.(*net.TCPConn); ok && srv.readBuffer > 0 {
 		_ = tcp.SetReadBuffer(srv.readBuffer) // with the default, more of a refused body passes the link
 	}
 	caller := newCallerConn(con)
 	caller.onClose = func() { srv.conns.remove(caller) }
-	srv.conns.add(caller)
+	caller.onRefusedHeader = srv.onRefusedHeader
 	srv.mutex.RLock()
 	defer srv.mutex.RUnlock()
+	caller.setLimits(srv.limits)
+	srv.conns.add(caller)
 	srv.queue.conns <- caller
 }
 
@@ -236,7 +215,7 @@
 	_ = srv.listener.Close() // serve returns the error
 }
 
-// queueListener is the listener of one http.Server. Its connections come from servers.enqueue.
+// queueListener is the listener of an http.Server. Its connections come from servers.enqueue.
 type queueListener struct {
 	address net.Addr
 	conns   chan net.Conn
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -59,6 +59,8 @@
 	region     string
 	// entry is this VM as others ask it to relay requests, or nil. It is set before watch.
 	entry *fpstate.EntryVM
+	// configured is called with each configuration that comes into force. It is set before watch.
+	configured func(cfg *fpstate.Configuration)
 	// offset distributes the entry VMs over the control VMs. It is a hash of this VM's name.
 	offset    int
 	log       *zap.Logger
@@ -89,6 +91,7 @@
 		peers:      map[string]peerState{},
 		log:        log,
 		forwarder:  fwd,
+		configured: func(*fpstate.Configuration) {},
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext:            dia.DialContext,
@@ -314,6 +317,7 @@
 		wat.forwarder.SetRelays(por.res.GetRelays(), digest)
 	}
 	if after := wat.forwarder.Configuration().GetRevision(); after != before {
+		wat.configured(wat.forwarder.Configuration())
 		wat.log.Info("configuration in force", zap.Uint64("revision", after), zap.Uint64("before", before),
 			zap.Uint64("index", por.res.GetIndex()), zap.String("peer", por.address))
 	}
--- a/internal/node/fpgate/watcher_test.go
+++ b/internal/node/fpgate/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -120,3 +121,30 @@
 		})
 	}
 }
+
+// TestLimitsApplyWithConfiguration guards against limits for callers that come into force later than the configuration that sets them.
+func TestLimitsApplyWithConfiguration(t *testing.T) {
+	fwd := fpforward.New(fpforward.Config{
+		Region: func(string) string { return "" },
+		Log:    zap.NewNop(),
+	})
+	wat := newWatcher(&fpgateway.Settings{}, zap.NewNop(), fwd)
+	var applied []uint64
+	wat.configured = func(cfg *fpstate.Configuration) { applied = append(applied, cfg.GetLimits().GetMaxHeaderBytes()) }
+	for num, revision := range []uint64{1, 2, 2} {
+		wat.apply(t.Context(), &pollResult{
+			res: &fpstate.WatchResponse{
+				State: &fpstate.State{
+					Configuration: &fpstate.Configuration{
+						Revision: revision,
+						Limits:   headerLimit(1024 * revision),
+					},
+				},
+				Index: uint64(num + 1),
+			},
+		})
+		if want := []uint64{1024, 2048}[:revision]; !slices.Equal(applied, want) {
+			t.Errorf("after revision %d the limits were %v, want %v", revision, applied, want)
+		}
+	}
+}
