fpcontrol: crashes of a request outlive the leader that counted them

A sound request that had been in flight during two crashes was refused for as long as the leader changed more often than every 10 s.

Cause: the leader alone knew how many crashes a request had caused, and since when it was refused. A new leader took each refused request for one after its second crash, refused for 10 s more, and forgot all others. Crashes also ended by time, so that a request was let through every 15 minutes, and one that came every 20 minutes was never refused. Reports that got lost were not repeated.

Change: quarantines in the log hold the first five crashes, also while the request is on probation after a refusal. They need level 2 of the log, so that both builds apply all entries alike until all control VMs know it. Refusals end by the clock of the VM that leads, from when it applied them. Crashes count until an upstream answers the request; entry VMs report that for requests on probation. The refusal after the fifth crash has no end, and foxtailctl refusal shows and ends refusals. Reports that no leader took are repeated, suspects are reported to each new leader, and a request on probation gets one attempt.

TestStatus expected level 1; it expects the highest known level now. TestTallyRefusalTimes plays 24 hours for lasting crashes, besides five minutes for others.

--- a/internal/control/fpdirectory/directory.go
+++ b/internal/control/fpdirectory/directory.go
@@ -29,6 +29,8 @@
 	spaces      map[string]*fpstate.KeySpace // by service
 	// quarantines are the requests that are or were refused, by digest.
 	quarantines map[string]*fpstate.Quarantine
+	// quarantinedAt is when this VM applied the last change of each of them. It is not part of the replicated state.
+	quarantinedAt map[string]time.Time
 	// evacuations are the data centres that are or were evacuated, by name.
 	evacuations map[string]*fpstate.Evacuation
 	lastFence   uint64
@@ -49,9 +51,11 @@
 		upstreams:   map[string]*fpstate.Upstream{},
 		spaces:      map[string]*fpstate.KeySpace{},
 		quarantines: map[string]*fpstate.Quarantine{},
-		evacuations: map[string]*fpstate.Evacuation{},
-		changed:     make(chan struct{}),
-		formers:     map[string]*fpstate.Upstream{},
+
+		quarantinedAt: map[string]time.Time{},
+		evacuations:   map[string]*fpstate.Evacuation{},
+		changed:       make(chan struct{}),
+		formers:       map[string]*fpstate.Upstream{},
 	}
 }
 
@@ -299,10 +303,7 @@
 	for _, ups := range sta.GetUpstreams() {
 		dir.upstreams[ups.GetId()] = ups
 	}
-	dir.quarantines = map[string]*fpstate.Quarantine{}
-	for _, qua := range sta.GetQuarantines() {
-		dir.quarantines[qua.GetDigest()] = qua
-	}
+	dir.restoreQuarantines(time.Now(), sta.GetQuarantines())
 	dir.evacuations = map[string]*fpstate.Evacuation{}
 	for _, eva := range sta.GetEvacuations() {
 		dir.evacuations[eva.GetDataCentre()] = eva
--- a/internal/control/fpdirectory/evacuation.go
+++ b/internal/control/fpdirectory/evacuation.go
@@ -12,8 +12,10 @@
 const (
 	// LevelEvacuation is the level that evacuations of data centres need.
 	LevelEvacuation = 1
+	// LevelCrashes is the level that the crashes of quarantines need.
+	LevelCrashes = 2
 	// KnownLevel is the highest level that this build knows.
-	KnownLevel = LevelEvacuation
+	KnownLevel = LevelCrashes
 )
 
 // maxEvacuations bounds the records of data centres. Orders for further data centres have no effect.
--- a/internal/node/fpcontrol/evacuation.go
+++ b/internal/node/fpcontrol/evacuation.go
@@ -90,13 +90,13 @@
 		Expected:   ord.GetExpected(),
 	}))
 	if err != nil {
-		return nil, fperror.Wrap(evacuationErrorKind(err), err, "pass an evacuation on to leader %s", leader)
+		return nil, fperror.Wrap(forwardedErrorKind(err), err, "pass an evacuation on to leader %s", leader)
 	}
 	return answer.Msg, nil
 }
 
-// evacuationErrorKind returns the kind of an error of an order that was passed on to the leader.
-func evacuationErrorKind(err error) fperror.Kind {
+// forwardedErrorKind returns the kind of an error of an order that was passed on to the leader.
+func forwardedErrorKind(err error) fperror.Kind {
 	var answer *connect.Error
 	if !errors.As(err, &answer) {
 		return fperror.CommitUnknown
@@ -105,7 +105,7 @@
 		return kin
 	}
 	if answer.Code() == connect.CodeUnimplemented {
-		return fperror.NoQuorum // the leader is of a build that does not know evacuations
+		return fperror.NoQuorum // the leader is of a build that does not know such orders
 	}
 	return fperror.CommitUnknown
 }
@@ -176,13 +176,18 @@
 		err = ser.con.evacuate(ctx, msg.GetDataCentre(), msg.GetActive())
 	}
 	if err != nil {
-		answer := connect.NewError(fperror.KindOf(err).Answer().Code(), err)
-		answer.Meta().Set(errorHeader, fperror.KindOf(err).String())
-		return nil, answer
+		return nil, orderError(err)
 	}
 	return connect.NewResponse(res), nil
 }
 
+// orderError returns the error of a call of an operator, with its kind.
+func orderError(err error) error {
+	answer := connect.NewError(fperror.KindOf(err).Answer().Code(), err)
+	answer.Meta().Set(errorHeader, fperror.KindOf(err).String())
+	return answer
+}
+
 // Status returns a summary of the replicated state as this VM knows it.
 func (ser *service) Status(context.Context, *connect.Request[fpstate.StatusRequest]) (*connect.Response[fpstate.StatusResponse], error) {
 	con := ser.con
@@ -199,6 +204,9 @@
 	for _, mst := range group.Members {
 		res.Members = append(res.Members, mst.VM)
 	}
+	for _, rec := range con.directory.Quarantines() {
+		res.Quarantines = append(res.Quarantines, rec.Quarantine)
+	}
 	return connect.NewResponse(res), nil
 }
 
--- a/internal/node/fpcontrol/evacuation_test.go
+++ b/internal/node/fpcontrol/evacuation_test.go
@@ -318,7 +318,7 @@
 			return false
 		}
 		sta := res.Msg
-		return sta.GetVm() == clu.seeds[1] && sta.GetLeader() != "" && len(sta.GetMembers()) == 3 && sta.GetLevel() == 1 &&
+		return sta.GetVm() == clu.seeds[1] && sta.GetLeader() != "" && len(sta.GetMembers()) == 3 && sta.GetLevel() == fpdirectory.KnownLevel &&
 			len(sta.GetEvacuations()) == 1 && sta.GetEvacuations()[0].GetActive() &&
 			len(sta.GetUpstreams()) == 1 && sta.GetUpstreams()[0].GetActive() == 2 && sta.GetUpstreams()[0].GetLeaving() == 1
 	})
--- a/internal/node/fpcontrol/keys.go
+++ b/internal/node/fpcontrol/keys.go
@@ -113,8 +113,8 @@
 		pla.keeper.InheritHolder(former)
 	}
 	pla.orderCtx, pla.cancelOrders = context.WithCancel(context.Background())
+	con.quarantine.startLeadership(con.directory.Quarantines())
 	con.setKeeper(pla.keeper)
-	con.quarantine.startLeadership(now, con.directory.Quarantined())
 	con.cfg.Log.Info("placement of keys started", zap.Uint64("term", term), zap.Uint64("lastFence", sta.GetLastFence()))
 	return pla
 }
@@ -273,12 +273,12 @@
 	return err
 }
 
-// handleReport adds the load and the crashes that an entry VM reports. Without a keeper, the report is dropped.
-func (con *Control) handleReport(req *fpstate.ReportRequest) {
+// handleReport adds the load and the crashes that an entry VM reports. Without a keeper, the report is dropped, and the result is false.
+func (con *Control) handleReport(req *fpstate.ReportRequest) bool {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
 	if con.keeper == nil {
-		return
+		return false
 	}
 	now := time.Now()
 	con.quarantine.report(now, req.GetCrashes(), req.GetCleared())
@@ -296,4 +296,5 @@
 			}
 		}
 	}
+	return true
 }
--- a/internal/node/fpcontrol/quarantine_test.go
+++ b/internal/node/fpcontrol/quarantine_test.go
@@ -10,11 +10,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
+	"github.com/foxtailpulley/foxtailpulley/internal/control/fpdirectory"
 	"github.com/foxtailpulley/foxtailpulley/internal/control/fpgroup"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
+	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate/fpstateconnect"
 )
 
 // TestQuarantineCountsCrashesOfAllVMs guards against a request that crashes upstreams and is never refused, because it reaches
@@ -30,7 +33,7 @@
 		}}
 	}
 	var qua quarantine
-	qua.startLeadership(now, nil)
+	qua.startLeadership(nil)
 	qua.report(now, crash("one"), nil)
 	if due := qua.takeDue(now); len(due) != 0 {
 		t.Errorf("got %v after one crash, want no change", due)
@@ -45,7 +48,7 @@
 	if due := qua.takeDue(now); len(due) != 1 || !due[0].GetLifted() {
 		t.Errorf("got %v after an answer, want a lifted quarantine", due)
 	}
-	qua.startLeadership(now, []string{"bad"})
+	qua.startLeadership(refusedSince(now, "bad"))
 	if due := qua.takeDue(now.Add(time.Second)); len(due) != 0 {
 		t.Errorf("got %v from a new leader after 1 s, want no change", due)
 	}
@@ -54,6 +57,20 @@
 	}
 }
 
+// refusedSince returns the records of requests that are refused since a time.
+func refusedSince(since time.Time, digests ...string) []fpdirectory.QuarantineRecord {
+	var all []fpdirectory.QuarantineRecord
+	for _, digest := range digests {
+		all = append(all, fpdirectory.QuarantineRecord{
+			Quarantine: &fpstate.Quarantine{
+				Digest: digest,
+			},
+			Since: since,
+		})
+	}
+	return all
+}
+
 // TestNewestQuarantineIsCommitted guards against an older decision on a request that reaches the log after a newer one: a request
 // that crashes upstreams is let through, or one that doesn't is refused. It also guards against a decision that is lost when its
 // commit fails.
@@ -61,7 +78,7 @@
 	now := time.Now()
 	unknown := fperror.New(fperror.CommitUnknown, "the command is not committed yet")
 	var qua quarantine
-	qua.startLeadership(now, []string{"bad"})
+	qua.startLeadership(refusedSince(now, "bad"))
 	qua.report(now, nil, []string{"bad"})
 	lifted := qua.takeDue(now)
 	if len(lifted) != 1 || !lifted[0].GetLifted() {
@@ -210,3 +227,34 @@
 		t.Errorf("%d renewals in 4 s, want at least 2", got)
 	}
 }
+
+// TestOperatorReleasesRequest guards against a request that stays refused although its upstreams have been mended.
+func TestOperatorReleasesRequest(t *testing.T) {
+	clu := newCluster(t, 3)
+	clu.waitForVoters(3)
+	con := clu.waitForPlacement()
+	reportCrashes(con, "bad")
+	clu.waitFor("the request is refused", func() bool { return slices.Contains(con.directory.Quarantined(), "bad") })
+	for vm, run := range clu.vms {
+		if run.control == con {
+			continue
+		}
+		cli := fpstateconnect.NewStateServiceClient(http.DefaultClient, "http://"+vm)
+		release := func(digest string) error {
+			_, err := cli.Release(t.Context(), connect.NewRequest(&fpstate.ReleaseRequest{
+				Digest: digest,
+			}))
+			return err
+		}
+		if err := release("unknown"); connect.CodeOf(err) != fperror.InvalidRequest.Answer().Code() {
+			t.Errorf("the release of an unknown request: %v", err)
+		}
+		clu.waitFor("the request is released", func() bool { return release("bad") == nil })
+		break
+	}
+	if con.directory.Quarantine("bad") != nil {
+		t.Error("the request is refused or its crashes count after its release")
+	}
+	reportCrashes(con, "bad")
+	clu.waitFor("the request is refused after further crashes", func() bool { return slices.Contains(con.directory.Quarantined(), "bad") })
+}
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -260,10 +260,11 @@
 
 // Report adds the load and the crashes that an entry VM reports, and gives it tokens for limited upstreams.
 func (ser *service) Report(ctx context.Context, req *connect.Request[fpstate.ReportRequest]) (*connect.Response[fpstate.ReportResponse], error) {
-	ser.con.handleReport(req.Msg)
+	recorded := ser.con.handleReport(req.Msg)
 	ser.con.recordLeaving(ctx, req.Msg.GetLeaving())
 	res := &fpstate.ReportResponse{
-		Leader: ser.con.group.Status().Leader,
+		Leader:         ser.con.group.Status().Leader,
+		CrashesDropped: !recorded,
 	}
 	ser.con.grantRates(ctx, req.Msg, res)
 	ser.con.grantPlaces(ctx, req.Msg, res)
--- a/internal/node/fpctl/evacuation_test.go
+++ b/internal/node/fpctl/evacuation_test.go
@@ -58,9 +58,28 @@
 			Active:     7,
 			Leaving:    1,
 		}},
+		Quarantines: []*fpstate.Quarantine{{
+			Digest:   "body:60303ae2",
+			Lifted:   true,
+			Modified: 38,
+			Crashes: []*fpstate.Incarnation{{
+				Upstream: "sales-1",
+				Born:     5,
+			}, {
+				Upstream: "sales-2",
+				Born:     6,
+			}},
+		}, {
+			Digest:   "body:9f86d081",
+			Modified: 41,
+		}},
 	}), nil
 }
 
+func (*fakeControl) Release(context.Context, *connect.Request[fpstate.ReleaseRequest]) (*connect.Response[fpstate.ReleaseResponse], error) {
+	return connect.NewResponse(&fpstate.ReleaseResponse{}), nil
+}
+
 // runControl runs a command against control VMs and returns the exit code and the output.
 func runControl(t *testing.T, addresses []string, args ...string) (code int, output string) {
 	t.Helper()
@@ -125,6 +144,9 @@
 		"evacuation-end-json":  {"evacuation", "end", "east", "--json"},
 		"evacuation-list":      {"evacuation", "list"},
 		"evacuation-list-json": {"evacuation", "list", "--json"},
+		"refusal-list":         {"refusal", "list"},
+		"refusal-list-json":    {"refusal", "list", "--json"},
+		"refusal-end":          {"refusal", "end", "body:9f86d081"},
 		"state":                {"state"},
 	} {
 		_, got := runControl(t, []string{(&fakeControl{}).start(t)}, args...)
--- a/internal/node/fpctl/program.go
+++ b/internal/node/fpctl/program.go
@@ -24,7 +24,7 @@
 }
 
 type commandLine struct {
-	Address     []string      `placeholder:"IP:PORT" help:"Operator addresses of VMs, tried in turn. Required but for evacuation and state."`
+	Address     []string      `placeholder:"IP:PORT" help:"Operator addresses of VMs, tried in turn. Required but for evacuation, refusal and state."`
 	JSON        bool          `name:"json" help:"Print answers and errors as JSON, one document to a line."`
 	Timeout     time.Duration `default:"10s" help:"Time that one address has to answer. The wait of apply and voter comes on top."`
 	PlainText   bool          `help:"Use no TLS; loopback addresses only."`
@@ -45,6 +45,7 @@
 	Watch   watchCommand   `cmd:"" help:"Print the status at every change."`
 
 	Evacuation evacuationCommand `cmd:"" help:"Evacuate data centres of a deployment with HTTP routes."`
+	Refusal    refusalCommand    `cmd:"" help:"Show and end the refusals of requests that crash upstreams, in a deployment with HTTP routes."`
 	State      stateCommand      `cmd:"" help:"Print a summary of the state of a deployment with HTTP routes."`
 }
 
--- a/internal/node/fpgate/watcher.go
+++ b/internal/node/fpgate/watcher.go
@@ -342,6 +342,7 @@
 	room := wat.forwarder.Room()
 	nextLoad := time.Now().Add(reportInterval)
 	var lastCall time.Time
+	lastLeader := ""
 	for wat.awaitReport(ctx, time.Until(nextLoad), lastCall) {
 		wat.mutex.Lock()
 		leader := wat.leader
@@ -354,6 +355,10 @@
 		if leader == "" {
 			continue
 		}
+		if leader != lastLeader {
+			lastLeader = leader
+			wat.forwarder.RepeatCrashes()
+		}
 		crashes, cleared := wat.forwarder.TakeCrashes()
 		cal := rates.NewCall(time.Now())
 		places := room.NewCall(cal.SentAt)
@@ -380,6 +385,9 @@
 		if err != nil || !res.Msg.GetLeads() {
 			room.Fail(places)
 		}
+		if err != nil || !res.Msg.GetLeads() || res.Msg.GetCrashesDropped() {
+			wat.forwarder.ReturnCrashes(crashes, cleared)
+		}
 		if err != nil {
 			wat.log.Debug("report failed", zap.String("peer", leader), zap.Error(err))
 			continue
--- a/internal/route/fpforward/crash.go
+++ b/internal/route/fpforward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -53,18 +54,18 @@
 	})
 }
 
-// take removes all requests and returns the digests of those whose connections broke within crashWindow before now.
-func (itr *interruptedRequests) take(now time.Time) []string {
+// take removes all requests and returns those whose connections broke within crashWindow before now.
+func (itr *interruptedRequests) take(now time.Time) []interruptedRequest {
 	itr.mutex.Lock()
 	defer itr.mutex.Unlock()
-	var digests []string
+	var recent []interruptedRequest
 	for _, irq := range itr.requests {
 		if now.Sub(irq.at) <= crashWindow {
-			digests = append(digests, irq.digest)
+			recent = append(recent, irq)
 		}
 	}
 	itr.requests = nil
-	return digests
+	return recent
 }
 
 // any reports whether there are requests that wait for the proof.
@@ -92,18 +93,61 @@
 	return crashes, cleared
 }
 
+// ReturnCrashes adds crashes and cleared suspects again, of which the leader has not taken the report. What came since then is newer.
+func (fwd *Forwarder) ReturnCrashes(crashes []*fpstate.Crash, cleared []string) {
+	rep := &fwd.crashes
+	rep.mutex.Lock()
+	defer rep.mutex.Unlock()
+	newer := map[string]bool{}
+	for _, cra := range rep.crashes {
+		newer[cra.GetDigest()] = true
+	}
+	for _, digest := range rep.cleared {
+		newer[digest] = true
+	}
+	for _, digest := range cleared {
+		if !newer[digest] && len(rep.cleared) < maxCrashReports {
+			rep.cleared = append(rep.cleared, digest)
+		}
+	}
+	answered := map[string]bool{}
+	for _, digest := range rep.cleared {
+		answered[digest] = true
+	}
+	for _, cra := range crashes {
+		if !answered[cra.GetDigest()] && len(rep.crashes) < maxCrashReports {
+			rep.crashes = append(rep.crashes, cra)
+		}
+	}
+}
+
+// RepeatCrashes reports the crashes of all suspects again, to a new leader, which knows only of refused requests.
+func (fwd *Forwarder) RepeatCrashes() {
+	var all []*fpstate.Crash
+	fwd.quarantine.SuspectCrashes(maxCrashReports, func(digest string, cra fpquarantine.Crash) {
+		all = append(all, &fpstate.Crash{
+			Digest:   digest,
+			Upstream: cra.Upstream,
+			Born:     cra.Incarnation,
+		})
+	})
+	fwd.ReturnCrashes(all, nil)
+}
+
 // recordCrash records that the process of an upstream has ended. The requests that were in flight there become suspects.
 func (fwd *Forwarder) recordCrash(mem *member, now time.Time) {
-	for _, digest := range mem.interrupted.take(now) {
+	for _, irq := range mem.interrupted.take(now) {
+		digest := irq.digest
 		cra := fpquarantine.Crash{
 			Upstream:    mem.upstream.GetId(),
 			Incarnation: mem.upstream.GetBorn(),
 		}
-		count := fwd.quarantine.RecordCrash(now, digest, cra)
+		count := fwd.quarantine.RecordCrash(irq.at, digest, cra)
 		fwd.cfg.Log.Info("a request was in flight when an upstream crashed", zap.String("digest", digest),
 			zap.String("upstream", cra.Upstream), zap.Uint64("born", cra.Incarnation), zap.Int("crashes", count))
 		rep := &fwd.crashes
 		rep.mutex.Lock()
+		rep.cleared = slices.DeleteFunc(rep.cleared, func(other string) bool { return other == digest })
 		if len(rep.crashes) < maxCrashReports {
 			rep.crashes = append(rep.crashes, &fpstate.Crash{
 				Digest:   digest,
@@ -133,12 +177,17 @@
 // checkQuarantine returns an error of kind Quarantined if upstreams have crashed while they ran requests with the same
 // content.
 func (exc *exchange) checkQuarantine(now time.Time) error {
-	if quarantined, suspects := exc.fwd.quarantine.Len(); quarantined+suspects == 0 {
+	if exc.fwd.quarantine.IsEmpty() {
 		return nil
 	}
 	return exc.fwd.quarantine.Check(now, exc.digest())
 }
 
+// onProbation reports whether the request was refused because of crashes that still count. A second attempt could be a further crash.
+func (exc *exchange) onProbation() bool {
+	return !exc.fwd.quarantine.IsEmpty() && exc.fwd.quarantine.OnProbation(exc.digest())
+}
+
 // recordInterruption records that the upstream has closed the connection of the request without an answer, and starts to
 // check whether its process has ended. If keep is set, the connection that the check opens is kept for later requests.
 func (exc *exchange) recordInterruption(mem *member, now time.Time, keep bool) {
@@ -175,14 +224,15 @@
 	fwd.confirmEnded(mem)
 }
 
-// clearSuspect removes the request from the suspects, because an upstream has answered it.
-func (exc *exchange) clearSuspect() {
-	if _, suspects := exc.fwd.quarantine.Len(); suspects == 0 || !exc.fwd.quarantine.Clear(exc.digest()) {
+// clearSuspect removes the request from the suspects, because an upstream has answered it after it was sent there at a time.
+func (exc *exchange) clearSuspect(began time.Time) {
+	if exc.fwd.quarantine.IsEmpty() || !exc.fwd.quarantine.Clear(exc.digest(), began) {
 		return
 	}
 	rep := &exc.fwd.crashes
 	rep.mutex.Lock()
 	defer rep.mutex.Unlock()
+	rep.crashes = slices.DeleteFunc(rep.crashes, func(cra *fpstate.Crash) bool { return cra.GetDigest() == exc.digest() })
 	if len(rep.cleared) < maxCrashReports {
 		rep.cleared = append(rep.cleared, exc.digest())
 	}
--- a/internal/route/fpforward/crash_test.go
+++ b/internal/route/fpforward/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -141,3 +142,106 @@
 		t.Errorf("%d requests are suspected", suspects)
 	}
 }
+
+// probationOf returns the state in which a request with the given body was refused because of crashes and no longer is.
+func (har *harness) probationOf(body string) *fpstate.State {
+	exc := har.forward.newExchange(nil, httptest.NewRequest(http.MethodPost, har.server.URL+"/safe/1", nil), time.Now())
+	exc.body = []byte(body)
+	return &fpstate.State{
+		Quarantines: []*fpstate.Quarantine{{
+			Digest: exc.digest(),
+			Lifted: true,
+			Crashes: []*fpstate.Incarnation{{
+				Upstream: "former",
+				Born:     1,
+			}},
+			Modified: har.index + 1,
+		}},
+	}
+}
+
+// TestRequestOnProbationCrashesOnce guards against a request that takes down several upstreams when its refusal has ended, because it is
+// sent to another one at once or comes again before the control VMs know of the crash.
+func TestRequestOnProbationCrashesOnce(t *testing.T) {
+	har := newHarness(t)
+	var runs atomic.Int64
+	for num := range 8 {
+		har.addCrashingUpstream(fmt.Sprintf("fragile-%d", num), &runs)
+	}
+	har.update(har.probationOf("bad"))
+	for range 5 {
+		har.post("bad")
+		for range 6 {
+			// Other requests detect that the process has ended.
+			har.post("good")
+		}
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("the request crashed %d upstreams, want 1", got)
+	}
+}
+
+// TestAnswerOnProbationIsReported guards against crashes that count although an upstream has answered the request since its refusal has
+// ended, so that a sound request is refused for longer each time.
+func TestAnswerOnProbationIsReported(t *testing.T) {
+	har := newHarness(t)
+	har.addWorker("work", nil)
+	har.update(har.probationOf("sound"))
+	for range 3 {
+		if status := har.post("sound"); status != http.StatusOK {
+			t.Errorf("got status %d", status)
+		}
+	}
+	if _, cleared := har.forward.TakeCrashes(); len(cleared) != 1 {
+		t.Errorf("%d answers are reported, want 1", len(cleared))
+	}
+}
+
+// TestReturnedCrashes guards against crashes that no leader learns of, because the report was lost, and against old ones that replace
+// newer reports on the same request.
+func TestReturnedCrashes(t *testing.T) {
+	har := newHarness(t)
+	crash := func(digest string) *fpstate.Crash {
+		return &fpstate.Crash{
+			Digest:   digest,
+			Upstream: "one",
+			Born:     1,
+		}
+	}
+	har.forward.ReturnCrashes([]*fpstate.Crash{crash("a"), crash("b")}, []string{"c"})
+	crashes, cleared := har.forward.TakeCrashes()
+	if len(crashes) != 2 || len(cleared) != 1 {
+		t.Fatalf("got %v and %v after a lost report", crashes, cleared)
+	}
+	har.forward.ReturnCrashes([]*fpstate.Crash{crash("c")}, []string{"a"})
+	har.forward.ReturnCrashes(crashes, cleared)
+	crashes, cleared = har.forward.TakeCrashes()
+	var digests []string
+	for _, cra := range crashes {
+		digests = append(digests, cra.GetDigest())
+	}
+	slices.Sort(digests)
+	if !slices.Equal(digests, []string{"b", "c"}) || !slices.Equal(cleared, []string{"a"}) {
+		t.Errorf("got crashes of %v and answers of %v, want b and c, and a", digests, cleared)
+	}
+}
+
+// TestSuspectsAreReportedAgain guards against a new leader that doesn't know of crashes.
+func TestSuspectsAreReportedAgain(t *testing.T) {
+	har := newHarness(t)
+	var runs atomic.Int64
+	har.addCrashingUpstream("fragile", &runs)
+	har.post("bad")
+	reported := 0
+	for end := time.Now().Add(2 * time.Second); reported == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		crashes, _ := har.forward.TakeCrashes()
+		reported = len(crashes)
+	}
+	if reported != 1 {
+		t.Fatalf("%d crashes are reported, want 1", reported)
+	}
+	har.forward.RepeatCrashes()
+	if crashes, _ := har.forward.TakeCrashes(); len(crashes) != 1 {
+		t.Errorf("%d crashes are reported again, want 1", len(crashes))
+	}
+}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -314,7 +314,7 @@
 	if fperror.KindOf(err).Answer().Outcome() == fperror.NotRun {
 		return true
 	}
-	return exc.repeatable() && exc.runs < max(1, int(exc.route.GetMaxAttempts()))
+	return exc.repeatable() && exc.runs < max(1, int(exc.route.GetMaxAttempts())) && !exc.onProbation()
 }
 
 // attempt sends the request to one upstream. A nil error means that the answer is for the caller.
@@ -392,7 +392,7 @@
 		exc.recordFailure(cho, rep, err, took)
 		return nil, err
 	}
-	exc.clearSuspect()
+	exc.clearSuspect(time.Now().Add(-took))
 	exc.observeRest(mem, rep)
 	mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
 	if exc.keyed {
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -237,15 +237,20 @@
 	fwd.install(next)
 }
 
-// setQuarantine replaces the requests that this VM refuses on decision of the control VMs.
+// setQuarantine replaces the requests that this VM refuses on decision of the control VMs, and those that were refused and whose
+// crashes still count.
 func (fwd *Forwarder) setQuarantine(quarantines map[string]*fpstate.Quarantine) {
-	var digests []string
+	var refused, released []string
 	for digest, qua := range quarantines {
-		if !qua.GetLifted() {
-			digests = append(digests, digest)
+		switch {
+		case !qua.GetLifted():
+			refused = append(refused, digest)
+		case len(qua.GetCrashes()) > 0:
+			released = append(released, digest)
 		}
 	}
-	fwd.quarantine.Replace(controlGroup, digests)
+	fwd.quarantine.Replace(controlGroup, refused)
+	fwd.quarantine.Release(time.Now(), released)
 }
 
 // controlGroup is the name of the group of control VMs in the quarantine.
--- a/internal/route/fpquarantine/list_test.go
+++ b/internal/route/fpquarantine/list_test.go
@@ -72,6 +72,45 @@
 	}
 }
 
+// TestAnswersAfterCrashesCount guards against a request that is cleared by an answer that was on its way when an upstream crashed, or
+// when its refusal ended; and against crashes that count after an answer.
+func TestAnswersAfterCrashesCount(t *testing.T) {
+	before, after := start.Add(-time.Second), start.Add(time.Second)
+	for name, prepare := range map[string]func(lis *fpquarantine.List){
+		"suspect":   func(lis *fpquarantine.List) { lis.RecordCrash(start, "bad", crash("u0", 1)) },
+		"probation": func(lis *fpquarantine.List) { lis.Release(start, []string{"bad"}) },
+		"probation, known for longer": func(lis *fpquarantine.List) {
+			lis.Release(start, []string{"bad"})
+			lis.Release(start.Add(time.Minute), []string{"bad", "other"})
+		},
+	} {
+		lis := fpquarantine.New(fpquarantine.Config{})
+		prepare(lis)
+		if lis.Clear("bad", before) {
+			t.Errorf("%s: cleared by an answer that was on its way", name)
+		}
+		if !lis.Clear("bad", after) || lis.Clear("bad", after) {
+			t.Errorf("%s: not cleared once by an answer", name)
+		}
+		if got := lis.RecordCrash(after, "bad", crash("u1", 1)); got != 1 {
+			t.Errorf("%s: %d crashes count after an answer and one crash", name, got)
+		}
+	}
+}
+
+// TestCrashOnProbationRefuses guards against a second attempt of a request that crashes an upstream after its refusal has ended.
+func TestCrashOnProbationRefuses(t *testing.T) {
+	lis := fpquarantine.New(fpquarantine.Config{})
+	lis.Release(start, []string{"bad"})
+	if err := lis.Check(start, "bad"); err != nil || !lis.OnProbation("bad") {
+		t.Errorf("refused after the end of its refusal: %v", err)
+	}
+	lis.RecordCrash(start, "bad", crash("u0", 1))
+	if err := lis.Check(start, "bad"); !fperror.Is(err, fperror.Quarantined) {
+		t.Errorf("not refused after a crash on probation: %v", err)
+	}
+}
+
 func ExampleDigest() {
 	dig := fpquarantine.NewDigest("/pkg.Service/Method")
 	fmt.Fprint(dig, "one ")
--- a/internal/route/fpquarantine/tally.go
+++ b/internal/route/fpquarantine/tally.go
@@ -1,6 +1,7 @@
 package fpquarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -9,85 +10,159 @@
 	// flight during the crashes are served again, while the request that causes them causes a third one and is refused for
 	// longer.
 	minRefusal = 10 * time.Second
-	// refusalGrowth is the factor by which the time grows with each further crash, and maxRefusal its bound.
+	// refusalGrowth is the factor by which the time grows with each further crash, and maxRefusal its bound, unless crashes last.
 	refusalGrowth = 4
 	maxRefusal    = 15 * time.Minute
+	// crashesToKeep is the number of lasting crashes from which a request is refused without a limit of time. A request that only
+	// happened to be in flight during the crashes is answered at the first chance after one of its refusals, which ends its record.
+	crashesToKeep = 5
 )
 
 // Tally counts the crashes that all entry VMs report, and decides which requests are refused and for how long. It runs on the
 // leader of the control VMs and is not safe for concurrent use. The zero value is empty.
 type Tally struct {
 	entries map[string]*entry
+	// lasting states that decisions are stored with their crashes, so that all VMs know which requests are on probation and report their
+	// answers. Crashes then count without a limit of time, and else until maxRefusal after the last one.
+	lasting bool
 }
 
-// entry holds the crashes of one request.
+// entry holds the crashes of one request. Without a refusal, a request with crashesToRefuse crashes or more is on probation: its
+// crashes count until an upstream has answered it.
 type entry struct {
-	crashes      map[Crash]bool
-	lastCrash    time.Time
-	refusedUntil time.Time // zero if it is not refused
+	crashes []Crash // the first crashesToKeep ones
+	// assumed is the number of crashes of which an earlier leader had heard, if it has not stored them.
+	assumed   int
+	lastCrash time.Time
+	refused   bool
+	// refusedUntil is the end of the refusal, or zero if it has none.
+	refusedUntil time.Time
 }
 
-// RecordCrash records a crash while a request was in flight, and reports whether the request has to be refused from now on.
-// It returns false for a crash that has been reported before.
+// count returns the number of crashes. Reported ones may be among those that are assumed.
+func (ent *entry) count() int { return max(ent.assumed, len(ent.crashes)) }
+
+// refuse begins a refusal at a time.
+func (ent *entry) refuse(at time.Time, lasting bool) {
+	ent.refused, ent.refusedUntil = true, time.Time{}
+	if !lasting || ent.count() < crashesToKeep {
+		ent.refusedUntil = at.Add(refusalTime(ent.count()))
+	}
+}
+
+// rank orders entries by how much is lost without them: suspects, requests on probation, refused ones.
+func (ent *entry) rank() int {
+	switch {
+	case ent.refused:
+		return 2
+	case ent.count() >= crashesToRefuse:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Record is what an earlier leader has decided on a request.
+type Record struct {
+	// Crashes are the crashes that the decision is based on. Empty: they are not known.
+	Crashes []Crash
+	// Refused states that the request is refused. Otherwise, it is on probation.
+	Refused bool
+	// Since is when this VM learned of the decision, by its own clock.
+	Since time.Time
+}
+
+// RecordCrash records a crash while a request was in flight, and reports whether the request has to be refused.
+// It returns false for a crash that has been reported before, and for a request that is refused without a limit of time.
 func (tal *Tally) RecordCrash(now time.Time, digest string, cra Crash) bool {
 	if tal.entries == nil {
 		tal.entries = map[string]*entry{}
 	}
 	ent := tal.entries[digest]
 	if ent == nil {
-		tal.evictOldest()
-		ent = &entry{
-			crashes: map[Crash]bool{},
-		}
+		tal.makeRoom()
+		ent = &entry{}
 		tal.entries[digest] = ent
 	}
-	if ent.crashes[cra] {
+	if slices.Contains(ent.crashes, cra) || ent.refused && ent.refusedUntil.IsZero() {
 		return false
 	}
-	ent.crashes[cra] = true
+	before := ent.count()
 	ent.lastCrash = now
-	if len(ent.crashes) < crashesToRefuse {
+	if len(ent.crashes) < crashesToKeep {
+		ent.crashes = append(ent.crashes, cra)
+	}
+	if ent.count() < crashesToRefuse {
 		return false
 	}
-	ent.refusedUntil = now.Add(refusalTime(len(ent.crashes)))
+	if !ent.refused || ent.count() > before {
+		ent.refuse(now, tal.lasting)
+	}
 	return true
 }
 
-// refusalTime returns how long a request is refused after a number of crashes.
+// refusalTime returns how long a request is refused after a number of crashes, of which crashesToKeep count at most.
 func refusalTime(crashes int) time.Duration {
 	length := minRefusal
-	for num := crashesToRefuse; num < crashes && length < maxRefusal; num++ {
+	for range crashes - crashesToRefuse {
 		length *= refusalGrowth
 	}
 	return min(length, maxRefusal)
 }
 
-// Clear drops a request that an upstream has answered, and reports whether it was refused.
+// SetLasting makes crashes count without a limit of time, also those of requests that are refused or on probation already.
+func (tal *Tally) SetLasting() {
+	tal.lasting = true
+	for _, ent := range tal.entries {
+		if ent.refused && ent.count() >= crashesToKeep {
+			ent.refusedUntil = time.Time{}
+		}
+	}
+}
+
+// Crashes returns the first crashes of a request, in order.
+func (tal *Tally) Crashes(digest string) []Crash {
+	if ent := tal.entries[digest]; ent != nil {
+		return slices.Clone(ent.crashes)
+	}
+	return nil
+}
+
+// Decisions returns the requests that are refused or on probation, by digest, and whether they are refused.
+func (tal *Tally) Decisions() map[string]bool {
+	all := map[string]bool{}
+	for digest, ent := range tal.entries {
+		if ent.rank() > 0 {
+			all[digest] = ent.refused
+		}
+	}
+	return all
+}
+
+// Clear drops a request that an upstream has answered, and reports whether it was refused or on probation.
 func (tal *Tally) Clear(digest string) bool {
 	ent := tal.entries[digest]
 	delete(tal.entries, digest)
-	return ent != nil && !ent.refusedUntil.IsZero()
+	return ent != nil && ent.rank() > 0
 }
 
-// EndExpired ends the refusals whose time is over and returns their requests. The crashes of these requests still count
-// until maxRefusal after the last one.
+// EndExpired ends the refusals whose time is over and returns their requests, which are on probation then.
 func (tal *Tally) EndExpired(now time.Time) []string {
 	var ended []string
 	for digest, ent := range tal.entries {
 		switch {
-		case !ent.refusedUntil.IsZero() && !now.Before(ent.refusedUntil):
-			ent.refusedUntil = time.Time{}
+		case ent.refused && !ent.refusedUntil.IsZero() && !now.Before(ent.refusedUntil):
+			ent.refused = false
 			ended = append(ended, digest)
-		case ent.refusedUntil.IsZero() && now.Sub(ent.lastCrash) > maxRefusal:
+		case !ent.refused && !tal.lasting && now.Sub(ent.lastCrash) > maxRefusal:
 			delete(tal.entries, digest)
 		}
 	}
 	return ended
 }
 
-// Adopt adds a request that an earlier leader has refused. It is refused like one after its second crash. A request that is
-// known already is not changed.
-func (tal *Tally) Adopt(now time.Time, digest string) {
+// Adopt adds a request on which an earlier leader has decided. A request that is known already is not changed.
+func (tal *Tally) Adopt(digest string, rec Record) {
 	if tal.entries == nil {
 		tal.entries = map[string]*entry{}
 	}
@@ -95,28 +170,30 @@
 		return
 	}
 	ent := &entry{
-		crashes:      map[Crash]bool{},
-		lastCrash:    now,
-		refusedUntil: now.Add(minRefusal),
+		crashes:   slices.Clone(rec.Crashes[:min(len(rec.Crashes), crashesToKeep)]),
+		lastCrash: rec.Since,
+	}
+	if len(ent.crashes) == 0 {
+		ent.assumed = crashesToRefuse
 	}
-	for num := range crashesToRefuse {
-		ent.crashes[Crash{
-			Incarnation: uint64(num),
-		}] = true
+	if rec.Refused {
+		ent.refuse(rec.Since, tal.lasting)
 	}
 	tal.entries[digest] = ent
 }
 
-// evictOldest drops the request with the oldest last crash if there are DefaultMaxSuspects requests or more.
-func (tal *Tally) evictOldest() {
+// makeRoom drops one request if there are DefaultMaxSuspects requests or more: of those with the lowest rank, the one with the oldest
+// last crash.
+func (tal *Tally) makeRoom() {
 	if len(tal.entries) < DefaultMaxSuspects {
 		return
 	}
-	oldest := ""
+	victim := ""
 	for digest, ent := range tal.entries {
-		if oldest == "" || ent.lastCrash.Before(tal.entries[oldest].lastCrash) {
-			oldest = digest
+		best := tal.entries[victim]
+		if best == nil || ent.rank() < best.rank() || ent.rank() == best.rank() && ent.lastCrash.Before(best.lastCrash) {
+			victim = digest
 		}
 	}
-	delete(tal.entries, oldest)
+	delete(tal.entries, victim)
 }
--- a/internal/route/fpquarantine/tally_test.go
+++ b/internal/route/fpquarantine/tally_test.go
@@ -11,37 +11,53 @@
 // TestTallyRefusalTimes guards against a request that crashes each upstream that runs it, is sent again, and is let through too
 // often after its third crash; and against other requests in flight at the same upstreams that are refused for too long.
 func TestTallyRefusalTimes(t *testing.T) {
-	var tal fpquarantine.Tally
-	now := start
-	sent, afterThird, refused := 0, 0, false
-	for passed := time.Duration(0); passed < 5*time.Minute; passed += time.Second {
-		now = start.Add(passed)
-		for range tal.EndExpired(now) {
-			refused = false
+	for _, tes := range []struct {
+		lasting bool
+		length  time.Duration
+	}{
+		{
+			length: 5 * time.Minute,
+		},
+		{
+			lasting: true,
+			length:  24 * time.Hour,
+		},
+	} {
+		var tal fpquarantine.Tally
+		if tes.lasting {
+			tal.SetLasting()
 		}
-		if refused {
-			continue
+		now := start
+		sent, afterThird, refused := 0, 0, false
+		for passed := time.Duration(0); passed < tes.length; passed += time.Second {
+			now = start.Add(passed)
+			for range tal.EndExpired(now) {
+				refused = false
+			}
+			if refused {
+				continue
+			}
+			if sent++; sent > 3 {
+				afterThird++
+			}
+			refused = tal.RecordCrash(now, "bad", crash(fmt.Sprintf("u%d", sent), 1))
 		}
-		if sent++; sent > 3 {
-			afterThird++
+		if afterThird > 3 {
+			t.Errorf("the request reached %d upstreams after its third crash, want at most 3", afterThird)
 		}
-		refused = tal.RecordCrash(now, "bad", crash(fmt.Sprintf("u%d", sent), 1))
-	}
-	if afterThird > 3 {
-		t.Errorf("the request reached %d upstreams after its third crash, want at most 3", afterThird)
-	}
-	tal.RecordCrash(now, "beside", crash("u8", 1))
-	if !tal.RecordCrash(now, "beside", crash("u9", 1)) {
-		t.Fatal("a request with two crashes is not refused")
-	}
-	served := false
-	for passed := time.Duration(0); passed < 15*time.Second; passed += time.Second {
-		for _, digest := range tal.EndExpired(now.Add(passed)) {
-			served = served || digest == "beside"
+		tal.RecordCrash(now, "beside", crash("u8", 1))
+		if !tal.RecordCrash(now, "beside", crash("u9", 1)) {
+			t.Fatal("a request with two crashes is not refused")
+		}
+		served := false
+		for passed := time.Duration(0); passed < 15*time.Second; passed += time.Second {
+			for _, digest := range tal.EndExpired(now.Add(passed)) {
+				served = served || digest == "beside"
+			}
+		}
+		if !served {
+			t.Error("a request with two crashes is refused for more than 15 s")
 		}
-	}
-	if !served {
-		t.Error("a request with two crashes is refused for more than 15 s")
 	}
 }
 
@@ -68,7 +84,10 @@
 	if tal.RecordCrash(start, "0", crash("u1", 1)) {
 		t.Error("the oldest suspect is stored beyond the bound")
 	}
-	tal.Adopt(start, "old")
+	tal.Adopt("old", fpquarantine.Record{
+		Refused: true,
+		Since:   start,
+	})
 	if !tal.RecordCrash(start, "old", crash("u5", 1)) {
 		t.Error("a request that an earlier leader refused is not refused after a further crash")
 	}
--- a/internal/wire/fpstate/fpstateconnect/state.connect.go
+++ b/internal/wire/fpstate/fpstateconnect/state.connect.go
@@ -51,6 +51,8 @@
 	StateServiceReportProcedure = "/foxtailpulley.state.v1.StateService/Report"
 	// StateServiceEvacuateProcedure is the fully-qualified name of the StateService's Evacuate RPC.
 	StateServiceEvacuateProcedure = "/foxtailpulley.state.v1.StateService/Evacuate"
+	// StateServiceReleaseProcedure is the fully-qualified name of the StateService's Release RPC.
+	StateServiceReleaseProcedure = "/foxtailpulley.state.v1.StateService/Release"
 	// StateServiceStatusProcedure is the fully-qualified name of the StateService's Status RPC.
 	StateServiceStatusProcedure = "/foxtailpulley.state.v1.StateService/Status"
 )
@@ -73,6 +75,8 @@
 	Report(context.Context, *connect.Request[fpstate.ReportRequest]) (*connect.Response[fpstate.ReportResponse], error)
 	// Evacuate starts or ends the evacuation of a data centre.
 	Evacuate(context.Context, *connect.Request[fpstate.EvacuateRequest]) (*connect.Response[fpstate.EvacuateResponse], error)
+	// Release ends the refusal of a request and forgets its crashes.
+	Release(context.Context, *connect.Request[fpstate.ReleaseRequest]) (*connect.Response[fpstate.ReleaseResponse], error)
 	// Status returns a summary of the replicated state as the responding VM knows it.
 	Status(context.Context, *connect.Request[fpstate.StatusRequest]) (*connect.Response[fpstate.StatusResponse], error)
 }
@@ -136,6 +140,12 @@
 			connect.WithSchema(stateServiceMethods.ByName("Evacuate")),
 			connect.WithClientOptions(opts...),
 		),
+		release: connect.NewClient[fpstate.ReleaseRequest, fpstate.ReleaseResponse](
+			httpClient,
+			baseURL+StateServiceReleaseProcedure,
+			connect.WithSchema(stateServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 		status: connect.NewClient[fpstate.StatusRequest, fpstate.StatusResponse](
 			httpClient,
 			baseURL+StateServiceStatusProcedure,
@@ -155,6 +165,7 @@
 	read     *connect.Client[fpstate.ReadRequest, fpstate.ReadResponse]
 	report   *connect.Client[fpstate.ReportRequest, fpstate.ReportResponse]
 	evacuate *connect.Client[fpstate.EvacuateRequest, fpstate.EvacuateResponse]
+	release  *connect.Client[fpstate.ReleaseRequest, fpstate.ReleaseResponse]
 	status   *connect.Client[fpstate.StatusRequest, fpstate.StatusResponse]
 }
 
@@ -198,6 +209,11 @@
 	return c.evacuate.CallUnary(ctx, req)
 }
 
+// Release calls foxtailpulley.state.v1.StateService.Release.
+func (c *stateServiceClient) Release(ctx context.Context, req *connect.Request[fpstate.ReleaseRequest]) (*connect.Response[fpstate.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
 // Status calls foxtailpulley.state.v1.StateService.Status.
 func (c *stateServiceClient) Status(ctx context.Context, req *connect.Request[fpstate.StatusRequest]) (*connect.Response[fpstate.StatusResponse], error) {
 	return c.status.CallUnary(ctx, req)
@@ -221,6 +237,8 @@
 	Report(context.Context, *connect.Request[fpstate.ReportRequest]) (*connect.Response[fpstate.ReportResponse], error)
 	// Evacuate starts or ends the evacuation of a data centre.
 	Evacuate(context.Context, *connect.Request[fpstate.EvacuateRequest]) (*connect.Response[fpstate.EvacuateResponse], error)
+	// Release ends the refusal of a request and forgets its crashes.
+	Release(context.Context, *connect.Request[fpstate.ReleaseRequest]) (*connect.Response[fpstate.ReleaseResponse], error)
 	// Status returns a summary of the replicated state as the responding VM knows it.
 	Status(context.Context, *connect.Request[fpstate.StatusRequest]) (*connect.Response[fpstate.StatusResponse], error)
 }
@@ -280,6 +298,12 @@
 		connect.WithSchema(stateServiceMethods.ByName("Evacuate")),
 		connect.WithHandlerOptions(opts...),
 	)
+	stateServiceReleaseHandler := connect.NewUnaryHandler(
+		StateServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(stateServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	stateServiceStatusHandler := connect.NewUnaryHandler(
 		StateServiceStatusProcedure,
 		svc.Status,
@@ -304,6 +328,8 @@
 			stateServiceReportHandler.ServeHTTP(w, r)
 		case StateServiceEvacuateProcedure:
 			stateServiceEvacuateHandler.ServeHTTP(w, r)
+		case StateServiceReleaseProcedure:
+			stateServiceReleaseHandler.ServeHTTP(w, r)
 		case StateServiceStatusProcedure:
 			stateServiceStatusHandler.ServeHTTP(w, r)
 		default:
@@ -347,6 +373,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.state.v1.StateService.Evacuate is not implemented"))
 }
 
+func (UnimplementedStateServiceHandler) Release(context.Context, *connect.Request[fpstate.ReleaseRequest]) (*connect.Response[fpstate.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.state.v1.StateService.Release is not implemented"))
+}
+
 func (UnimplementedStateServiceHandler) Status(context.Context, *connect.Request[fpstate.StatusRequest]) (*connect.Response[fpstate.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("foxtailpulley.state.v1.StateService.Status is not implemented"))
 }
