fpcontrol: the simulation of losses plays VMs that are lost during their repair

The check for a repair comes before all other changes of the membership, so that one that can't end could have held up the others.

--- a/internal/node/fpcontrol/memberssim_test.go
+++ b/internal/node/fpcontrol/memberssim_test.go
@@ -362,6 +362,13 @@
 				vmd.kill()
 				time.Sleep(delay)
 				sim.add().start(false, seeds)
+			case "wiped":
+				// The VM comes back without its disk and is lost again during its repair.
+				sim.restartWiped(vmd)
+				time.Sleep(delay / 2)
+				vmd.kill()
+				time.Sleep(delay)
+				sim.add().start(false, seeds)
 			case "cut":
 				vmd.setCut(true)
 				time.Sleep(2 * delay)
@@ -373,6 +380,8 @@
 	switch how {
 	case "kill":
 		due = due.Add(delay)
+	case "wiped":
+		due = due.Add(delay/2 + delay)
 	case "cut":
 		due = due.Add(2 * delay)
 	}
@@ -380,6 +389,19 @@
 	ends.Wait()
 }
 
+// restartWiped restarts a VM without its disk.
+func (sim *memberSim) restartWiped(vmd *simVM) {
+	vmd.kill()
+	if err := os.RemoveAll(filepath.Join(sim.folder, vmd.name)); err != nil {
+		sim.t.Error(err)
+	}
+	var seeds []string
+	for _, other := range sim.running() {
+		seeds = append(seeds, other.name)
+	}
+	vmd.start(false, seeds)
+}
+
 // wipe makes some VMs lose their disks.
 func (sim *memberSim) wipe(lost []*simVM) {
 	var ends sync.WaitGroup
@@ -388,15 +410,8 @@
 		sim.note("%s loses its disk, down for %v", vmd.name, down)
 		ends.Go(func() {
 			vmd.kill()
-			if err := os.RemoveAll(filepath.Join(sim.folder, vmd.name)); err != nil {
-				sim.t.Error(err)
-			}
 			time.Sleep(down)
-			var seeds []string
-			for _, other := range sim.running() {
-				seeds = append(seeds, other.name)
-			}
-			vmd.start(false, seeds)
+			sim.restartWiped(vmd)
 		})
 	}
 	ends.Wait()
@@ -441,7 +456,7 @@
 		changes.Go(func() { sim.changeLeaders(ctx, leaderChanges) })
 	}
 	for range rounds {
-		how := []string{"kill", "planned", "cut"}[sim.intN(3)]
+		how := []string{"kill", "planned", "wiped", "cut"}[sim.intN(4)]
 		sim.replace(how, sim.draw(sim.intN(2) == 0))
 		if !sim.put(recovery) {
 			return fmt.Sprintf("no change is acknowledged within %v of a replacement", recovery)
@@ -467,7 +482,7 @@
 }
 
 // TestLossesInTurn guards against a group that is left without a leader, or loses what it acknowledged, by losses that it has to
-// tolerate one after the other: control VMs that are gone or were cut off, each with the time that their successors have to catch up,
+// tolerate one after the other: control VMs that are gone, also during a repair, or were cut off, each with the time that their successors have to catch up,
 // and then as many lost disks; in all orders with changes of the leader, which are no losses.
 func TestLossesInTurn(t *testing.T) {
 	const plays = 12
