fpdirectory: crashes of other requests push out those with the fewest first

Callers saw: after some hundred other requests had crashed upstreams at about the same time, one that had been refused without an end was let through again.

Cause: beyond 512 quarantines the directory dropped the refused one that changed least recently, which is the one that has been refused longest.

Evidence: TestOtherCrashesPushNothingOut, 1,000 requests that crash two upstreams each within five seconds; before: "the request is no longer refused".

Change: of lifted quarantines, and else of refused ones, the one with the fewest crashes goes first.

--- a/internal/control/fpdirectory/quarantine.go
+++ b/internal/control/fpdirectory/quarantine.go
@@ -1,6 +1,7 @@
 package fpdirectory
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -50,32 +51,26 @@
 		func(one, other *fpstate.Incarnation) bool { return proto.Equal(one, other) })
 }
 
-// leastNeededQuarantine returns the digest of the quarantine that changed least recently, of those that are lifted and have no crashes. If
-// there is none, it chooses from those that are lifted, and else from all.
+// leastNeededQuarantine returns the digest of a quarantine that is lifted, or of any if none is; of those the one with the fewest crashes,
+// and of these the one that changed least recently.
 func (dir *Directory) leastNeededQuarantine() string {
 	var all []*fpstate.Quarantine
 	for _, qua := range dir.quarantines {
 		all = append(all, qua)
 	}
 	return slices.MinFunc(all, func(one, other *fpstate.Quarantine) int {
-		if need := quarantineNeed(one) - quarantineNeed(other); need != 0 {
-			return need
+		if one.GetLifted() != other.GetLifted() {
+			if one.GetLifted() {
+				return -1
+			}
+			return 1
 		}
-		return compareUint(one.GetModified(), other.GetModified())
+		return cmp.Or(cmp.Compare(len(one.GetCrashes()), len(other.GetCrashes())), compareUint(one.GetModified(), other.GetModified()))
 	}).GetDigest()
 }
 
-// quarantineNeed returns how much a quarantine is needed: 2 if the request is refused, 1 if only its crashes count, 0 otherwise.
-func quarantineNeed(qua *fpstate.Quarantine) int {
-	switch {
-	case !qua.GetLifted():
-		return 2
-	case len(qua.GetCrashes()) > 0:
-		return 1
-	default:
-		return 0
-	}
-}
+// counts reports whether a quarantine matters: the request is refused, or its crashes count.
+func counts(qua *fpstate.Quarantine) bool { return !qua.GetLifted() || len(qua.GetCrashes()) > 0 }
 
 // restoreQuarantines replaces the quarantines by those of a snapshot. Of a quarantine that is known already it keeps the time at which
 // this VM learned of it.
@@ -98,7 +93,7 @@
 	defer dir.mutex.RUnlock()
 	var all []QuarantineRecord
 	for digest, qua := range dir.quarantines {
-		if quarantineNeed(qua) > 0 {
+		if counts(qua) {
 			all = append(all, QuarantineRecord{
 				Quarantine: qua,
 				Since:      dir.quarantinedAt[digest],
@@ -115,7 +110,7 @@
 func (dir *Directory) Quarantine(digest string) *fpstate.Quarantine {
 	dir.mutex.RLock()
 	defer dir.mutex.RUnlock()
-	if qua := dir.quarantines[digest]; qua != nil && quarantineNeed(qua) > 0 {
+	if qua := dir.quarantines[digest]; qua != nil && counts(qua) {
 		return qua
 	}
 	return nil
--- a/internal/node/fpcontrol/crashrecord_test.go
+++ b/internal/node/fpcontrol/crashrecord_test.go
@@ -25,6 +25,8 @@
 	index   uint64
 	crashes uint64
 	entry   *fpquarantine.List
+
+	lastCrash time.Time
 }
 
 type crashModelVM struct {
@@ -128,6 +130,7 @@
 // crash crashes an upstream while requests are in flight there.
 func (mod *crashModel) crash(digests ...string) {
 	mod.crashes++
+	mod.lastCrash = time.Now()
 	for _, digest := range digests {
 		cra := fpquarantine.Crash{
 			Upstream:    fmt.Sprintf("u%d", mod.crashes),
@@ -274,3 +277,37 @@
 		}
 	}
 }
+
+// TestOtherCrashesPushNothingOut guards against a request that is let through again because a thousand others have crashed upstreams.
+func TestOtherCrashesPushNothingOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mod := newCrashModel(t, fpdirectory.LevelCrashes)
+		for mod.entry.Check(time.Now(), "bad") == nil || time.Since(mod.lastCrash) < time.Hour {
+			if mod.entry.Check(time.Now(), "bad") == nil {
+				mod.crash("bad")
+			}
+			time.Sleep(time.Second)
+			mod.step()
+		}
+		for num := range 1000 {
+			mod.crash(fmt.Sprint("other", num))
+			mod.crash(fmt.Sprint("other", num))
+			if num%100 == 0 {
+				mod.lead(num / 100 % len(mod.vms))
+			}
+			time.Sleep(5 * time.Millisecond) // all are refused at once
+			mod.step()
+		}
+		for range 120 {
+			time.Sleep(time.Second)
+			mod.step()
+		}
+		if err := mod.entry.Check(time.Now(), "bad"); err == nil {
+			t.Error("the request is no longer refused")
+		}
+		refused := mod.vms[mod.leader].directory.Quarantined()
+		if len(refused) != 1 || refused[0] != "bad" {
+			t.Errorf("%d requests are refused, want only the one that has crashed most", len(refused))
+		}
+	})
+}
--- a/internal/route/fpquarantine/tally.go
+++ b/internal/route/fpquarantine/tally.go
@@ -1,6 +1,7 @@
 package fpquarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -50,16 +51,18 @@
 	}
 }
 
-// rank orders entries by how much is lost without them: suspects, requests on probation, refused ones.
-func (ent *entry) rank() int {
-	switch {
-	case ent.refused:
-		return 2
-	case ent.count() >= crashesToRefuse:
+// decided reports whether the request is refused or on probation.
+func (ent *entry) decided() bool { return ent.refused || ent.count() >= crashesToRefuse }
+
+// compareNeed orders entries by how much is lost without them: by refusal, the number of crashes, and the time of the last one.
+func compareNeed(one, other *entry) int {
+	if one.refused != other.refused {
+		if other.refused {
+			return -1
+		}
 		return 1
-	default:
-		return 0
 	}
+	return cmp.Or(cmp.Compare(one.count(), other.count()), one.lastCrash.Compare(other.lastCrash))
 }
 
 // Record is what an earlier leader has decided on a request.
@@ -132,7 +135,7 @@
 func (tal *Tally) Decisions() map[string]bool {
 	all := map[string]bool{}
 	for digest, ent := range tal.entries {
-		if ent.rank() > 0 {
+		if ent.decided() {
 			all[digest] = ent.refused
 		}
 	}
@@ -143,7 +146,7 @@
 func (tal *Tally) Clear(digest string) bool {
 	ent := tal.entries[digest]
 	delete(tal.entries, digest)
-	return ent != nil && ent.rank() > 0
+	return ent != nil && ent.decided()
 }
 
 // EndExpired ends the refusals whose time is over and returns their requests, which are on probation then.
@@ -182,16 +185,14 @@
 	tal.entries[digest] = ent
 }
 
-// makeRoom drops one request if there are DefaultMaxSuspects requests or more: of those with the lowest rank, the one with the oldest
-// last crash.
+// makeRoom drops the request that is needed least if there are DefaultMaxSuspects requests or more.
 func (tal *Tally) makeRoom() {
 	if len(tal.entries) < DefaultMaxSuspects {
 		return
 	}
 	victim := ""
 	for digest, ent := range tal.entries {
-		best := tal.entries[victim]
-		if best == nil || ent.rank() < best.rank() || ent.rank() == best.rank() && ent.lastCrash.Before(best.lastCrash) {
+		if best := tal.entries[victim]; best == nil || compareNeed(ent, best) < 0 {
 			victim = digest
 		}
 	}
