fpforward: crashes that are reported again leave room for new ones

A VM with 256 suspects or more reported their crashes again to a new leader, and dropped a crash that came before the next report. It repeats those of the newest suspects only, 128 crashes.

Also, a crash that is proven late no longer sets back the time of the last one, after which an answer counts.

--- a/internal/route/fpforward/crash.go
+++ b/internal/route/fpforward/crash.go
@@ -25,6 +25,8 @@
 	maxInterrupted = 64
 	// maxCrashReports bounds the crashes and the cleared suspects of one report, each.
 	maxCrashReports = 256
+	// maxRepeatedCrashes bounds the crashes of suspects that are reported again, so that there is room for new ones.
+	maxRepeatedCrashes = maxCrashReports / 2
 	// suspectRetention is how long this VM refuses a request by itself after two crashes. Longer refusals are decided by
 	// the control VMs.
 	suspectRetention = 10 * time.Second
@@ -121,10 +123,10 @@
 	}
 }
 
-// RepeatCrashes reports the crashes of all suspects again, to a new leader, which knows only of refused requests.
+// RepeatCrashes reports the crashes of the newest suspects again, to a new leader, which knows only of requests that were refused.
 func (fwd *Forwarder) RepeatCrashes() {
 	var all []*fpstate.Crash
-	fwd.quarantine.SuspectCrashes(maxCrashReports, func(digest string, cra fpquarantine.Crash) {
+	fwd.quarantine.SuspectCrashes(maxRepeatedCrashes, func(digest string, cra fpquarantine.Crash) {
 		all = append(all, &fpstate.Crash{
 			Digest:   digest,
 			Upstream: cra.Upstream,
--- a/internal/route/fpforward/crash_test.go
+++ b/internal/route/fpforward/crash_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fpquarantine"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -244,4 +245,18 @@
 	if crashes, _ := har.forward.TakeCrashes(); len(crashes) != 1 {
 		t.Errorf("%d crashes are reported again, want 1", len(crashes))
 	}
+	for num := range 2 * maxCrashReports {
+		har.forward.quarantine.RecordCrash(time.Now(), fmt.Sprint(num), fpquarantine.Crash{})
+	}
+	har.forward.RepeatCrashes()
+	har.addCrashingUpstream("fragile too", &runs)
+	har.post("bad too")
+	reported = 0
+	for end := time.Now().Add(2 * time.Second); reported != maxRepeatedCrashes+1 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		crashes, _ := har.forward.TakeCrashes()
+		reported += len(crashes)
+	}
+	if reported != maxRepeatedCrashes+1 {
+		t.Errorf("%d crashes are reported with a new one, want %d", reported, maxRepeatedCrashes+1)
+	}
 }
--- a/internal/route/fpquarantine/list.go
+++ b/internal/route/fpquarantine/list.go
@@ -140,7 +140,9 @@
 	if at.Sub(sus.lastCrash) >= lis.cfg.Retention {
 		sus.crashes = nil
 	}
-	sus.lastCrash = at
+	if at.After(sus.lastCrash) {
+		sus.lastCrash = at
+	}
 	if !slices.Contains(sus.crashes, cra) && len(sus.crashes) < crashesToRefuse {
 		sus.crashes = append(sus.crashes, cra)
 	}
