fpquarantine: crashes during a refusal don't lengthen it

Found by reading, before any caller saw it.

Cause: each of the crashes counted, and those after the second lengthened the refusal that had begun.

Evidence: TestCrashesAtOnceCountOnce, 30 crashes in 3 s; before: "refused for more than 12s after 30 crashes at once".

Change: crashes that are reported during a refusal don't count. The request was in flight before, and comes back on probation at the end of the refusal. Crashes that an earlier leader has not stored add to those that are reported, because reports to a new leader arrive during the refusal.

--- a/internal/route/fpquarantine/tally.go
+++ b/internal/route/fpquarantine/tally.go
@@ -32,7 +32,7 @@
 // crashes count until an upstream has answered it.
 type entry struct {
 	crashes []Crash // the first crashesToKeep ones
-	// assumed is the number of crashes of which an earlier leader had heard, if it has not stored them.
+	// assumed is the number of crashes before those, if an earlier leader has not stored them.
 	assumed   int
 	lastCrash time.Time
 	refused   bool
@@ -40,8 +40,8 @@
 	refusedUntil time.Time
 }
 
-// count returns the number of crashes. Reported ones may be among those that are assumed.
-func (ent *entry) count() int { return max(ent.assumed, len(ent.crashes)) }
+// count returns the number of crashes that count.
+func (ent *entry) count() int { return ent.assumed + len(ent.crashes) }
 
 // refuse begins a refusal at a time.
 func (ent *entry) refuse(at time.Time, lasting bool) {
@@ -75,8 +75,9 @@
 	Since time.Time
 }
 
-// RecordCrash records a crash while a request was in flight, and reports whether the request has to be refused.
-// It returns false for a crash that has been reported before, and for a request that is refused without a limit of time.
+// RecordCrash records a crash while a request was in flight, and reports whether the request has to be refused. It returns false for a
+// crash that has been reported before, and for a request that is refused without a limit of time. Crashes during a refusal don't
+// count: the request was in flight before, and many upstreams may have ended at once for another reason.
 func (tal *Tally) RecordCrash(now time.Time, digest string, cra Crash) bool {
 	if tal.entries == nil {
 		tal.entries = map[string]*entry{}
@@ -90,17 +91,17 @@
 	if slices.Contains(ent.crashes, cra) || ent.refused && ent.refusedUntil.IsZero() {
 		return false
 	}
-	before := ent.count()
 	ent.lastCrash = now
+	if ent.refused {
+		return true
+	}
 	if len(ent.crashes) < crashesToKeep {
 		ent.crashes = append(ent.crashes, cra)
 	}
 	if ent.count() < crashesToRefuse {
 		return false
 	}
-	if !ent.refused || ent.count() > before {
-		ent.refuse(now, tal.lasting)
-	}
+	ent.refuse(now, tal.lasting)
 	return true
 }
 
--- a/internal/route/fpquarantine/tally_test.go
+++ b/internal/route/fpquarantine/tally_test.go
@@ -61,6 +61,27 @@
 	}
 }
 
+// TestCrashesAtOnceCountOnce guards against a request that many callers send, and that is refused for long or without an end because it was
+// in flight at many upstreams that ended at once, as in a loss of power; and against a refusal that their late reports lengthen.
+func TestCrashesAtOnceCountOnce(t *testing.T) {
+	var tal fpquarantine.Tally
+	tal.SetLasting()
+	for num := range 30 {
+		tal.RecordCrash(start.Add(time.Duration(num)*100*time.Millisecond), "popular", crash(fmt.Sprint("u", num), 1))
+	}
+	const refusedFor = 12 * time.Second
+	if ended := tal.EndExpired(start.Add(refusedFor)); len(ended) != 1 {
+		t.Fatalf("refused for more than %v after 30 crashes at once", refusedFor)
+	}
+	now := start.Add(time.Minute)
+	if !tal.RecordCrash(now, "popular", crash("u30", 1)) {
+		t.Error("not refused after a crash on probation")
+	}
+	if ended := tal.EndExpired(now.Add(time.Minute)); len(ended) != 1 {
+		t.Error("refused for more than a minute after the first crash on probation")
+	}
+}
+
 // TestTallyDistinctCrashes guards against a refusal after one crash that several VMs report, or of a request that was answered
 // between two crashes. It also checks the bound of the number of requests and requests that an earlier leader refused.
 func TestTallyDistinctCrashes(t *testing.T) {
