fpcontrol: the test of early departures waits for the departure

The departure of an unknown incarnation is two entries of the log. The test waited until all VMs knew the incarnation, which the first one tells, and checked at once that it is gone, which the second one tells: a VM that is one entry behind failed the test, and is allowed to. It now also waits until all VMs have applied what the acknowledged departure had committed, and checks as before.

--- a/internal/node/fpcontrol/departure_test.go
+++ b/internal/node/fpcontrol/departure_test.go
@@ -34,6 +34,28 @@
 	})
 }
 
+// newestIndex returns the index up to which the VM that knows most knows the state.
+func (clu *cluster) newestIndex() uint64 {
+	newest := uint64(0)
+	for _, run := range clu.vms {
+		newest = max(newest, run.control.directory.Index())
+	}
+	return newest
+}
+
+// waitForIndex waits until all VMs know the state up to an index.
+func (clu *cluster) waitForIndex(index uint64) {
+	clu.t.Helper()
+	clu.waitFor("all VMs know the state up to the index", func() bool {
+		for _, run := range clu.vms {
+			if run.control.directory.Index() < index {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestLateDepartureKeepsNextIncarnation guards against an upstream that is shut out for good: a departure that names no incarnation
 // reaches the log through another VM after the next incarnation has announced itself.
 func TestLateDepartureKeepsNextIncarnation(t *testing.T) {
@@ -136,10 +158,12 @@
 	for num, vm := range clu.seeds {
 		born := uint64(10 * (num + 1))
 		clu.waitFor("the departure is accepted", func() bool { return clu.operator.Depart(t.Context(), vm, "one", born) == nil })
+		departed := clu.newestIndex()
 		for _, at := range clu.seeds {
 			clu.announceIncarnation(at, born)
 		}
 		clu.waitForIncarnation(born)
+		clu.waitForIndex(departed)
 		for _, run := range clu.vms {
 			if got := run.control.directory.Upstream("one"); !got.GetGone() {
 				t.Errorf("after the departure of incarnation %d at VM %s, VM %s has %v", born, vm, run.control.cfg.VM, got)
