fpgate: one copy of each way to send a request in TestHeaderLimitOnOpenConnection

Cause: the cases of raised and lowered limits repeated the code that sends the request. Change: each way is a function that both use; the cases and their checks are the same. No product code changes.

--- a/internal/node/fpgate/limits_test.go
+++ b/internal/node/fpgate/limits_test.go
@@ -63,6 +63,23 @@
 func TestHeaderLimitOnOpenConnection(t *testing.T) {
 	request := longRequest("/1", mediumHeader)
 	const half = 4 << 10 // within the small limit and its tolerance
+	between := func(pip *pipeline, change func()) {
+		change()
+		pip.write(request)
+	}
+	within := func(pip *pipeline, change func()) {
+		pip.write(request[:half])
+		time.Sleep(50 * time.Millisecond)
+		change()
+		pip.write(request[half:])
+	}
+	pipelined := func(pip *pipeline, change func()) {
+		pip.send("/slow")
+		pip.write(request)
+		time.Sleep(50 * time.Millisecond)
+		change()
+		pip.readAnswer()
+	}
 	for _, tes := range []struct {
 		name          string
 		before, after uint64
@@ -74,36 +91,22 @@
 			name:   "raised between requests",
 			before: smallHeader,
 			after:  largeHeader,
-			send: func(pip *pipeline, change func()) {
-				change()
-				pip.write(request)
-			},
-			want: http.StatusOK,
+			send:   between,
+			want:   http.StatusOK,
 		},
 		{
 			name:   "raised within a header",
 			before: smallHeader,
 			after:  largeHeader,
-			send: func(pip *pipeline, change func()) {
-				pip.write(request[:half])
-				time.Sleep(50 * time.Millisecond)
-				change()
-				pip.write(request[half:])
-			},
-			want: http.StatusOK,
+			send:   within,
+			want:   http.StatusOK,
 		},
 		{
 			name:   "raised behind a pipelined request",
 			before: smallHeader,
 			after:  largeHeader,
-			send: func(pip *pipeline, change func()) {
-				pip.send("/slow")
-				pip.write(request)
-				time.Sleep(50 * time.Millisecond)
-				change()
-				pip.readAnswer()
-			},
-			want: http.StatusOK,
+			send:   pipelined,
+			want:   http.StatusOK,
 		},
 		{
 			name:   "raised after a body",
@@ -121,36 +124,22 @@
 			name:   "lowered between requests",
 			before: largeHeader,
 			after:  smallHeader,
-			send: func(pip *pipeline, change func()) {
-				change()
-				pip.write(request)
-			},
-			want: http.StatusRequestHeaderFieldsTooLarge,
+			send:   between,
+			want:   http.StatusRequestHeaderFieldsTooLarge,
 		},
 		{
 			name:   "lowered within a header",
 			before: largeHeader,
 			after:  smallHeader,
-			send: func(pip *pipeline, change func()) {
-				pip.write(request[:half])
-				time.Sleep(50 * time.Millisecond)
-				change()
-				pip.write(request[half:])
-			},
-			want: http.StatusRequestHeaderFieldsTooLarge,
+			send:   within,
+			want:   http.StatusRequestHeaderFieldsTooLarge,
 		},
 		{
 			name:   "lowered behind a pipelined request",
 			before: largeHeader,
 			after:  smallHeader,
-			send: func(pip *pipeline, change func()) {
-				pip.send("/slow")
-				pip.write(request)
-				time.Sleep(50 * time.Millisecond)
-				change()
-				pip.readAnswer()
-			},
-			want: http.StatusRequestHeaderFieldsTooLarge,
+			send:   pipelined,
+			want:   http.StatusRequestHeaderFieldsTooLarge,
 		},
 		{
 			name:   "not changed",
