--- a/review/fleet-3/connections/main.go
+++ b/review/fleet-3/connections/main.go
@@ -1,5 +1,5 @@
-// Command connections sends the lookups of one zone in bursts while one of its two entry VMs is lost. Each request comes on a new
-// connection, which its client keeps open for reuse for four fifths of the idle timeout.
+// Command connections sends the lookups of two zones in bursts while one of the two entry VMs of each is lost. Each request comes on a
+// new connection, which its client keeps open for reuse for four fifths of the idle timeout.
 package main
 
 import (
@@ -22,11 +22,16 @@
 	// descriptors is what a machine has for sockets: 4,100, of which 200 are reserved for files.
 	descriptors = 3900
 	// perSecond is the rate of the lookups of the zone wrecsam of cwtsh-gw on a day of high load: 292 requests a second, of which 6.0 in
-	// 8.28 are lookups. burst is the factor of a burst, and burstLength its length.
-	perSecond   = 292 * 6.0 / 8.28
-	burst       = 1.7
-	burstLength = 5 * time.Second
-	bursts      = 4
+	// 8.28 are lookups. burst is the factor of a burst.
+	perSecond = 292 * 6.0 / 8.28
+	burst     = 1.7
+	// zones is the number of zones with two entry VMs each, of which one is lost.
+	zones = 2
+	// ends is how often a process has to end by itself to count, and longest the time for that.
+	ends    = 3
+	longest = 45 * time.Second
+	// restartDelay is the time after which the platform starts a process again that has ended.
+	restartDelay = 500 * time.Millisecond
 	// keep is how long a client keeps an idle connection: four fifths of the idle timeout of 15 s.
 	keep     = 12 * time.Second
 	deadline = time.Second
@@ -36,7 +41,7 @@
 	program := flag.String("program", "", "the gateway's executable")
 	folder := flag.String("folder", "", "a temporary folder")
 	record := flag.String("record", "", "the file for the record")
-	trouble := flag.Bool("trouble", true, "lose one entry VM, and send bursts")
+	trouble := flag.Bool("trouble", true, "lose an entry VM in each zone, and send bursts")
 	flag.Parse()
 	rec, err := fleet.NewRecord(*record)
 	if err != nil {
@@ -49,7 +54,6 @@
 		Record:      rec,
 		Losses:      1,
 		Descriptors: descriptors,
-		EntryZone:   fleet.ZoneName(0),
 	}
 	code := run(fle, *trouble)
 	fle.Stop()
@@ -59,11 +63,12 @@
 
 func run(fle *fleet.Fleet, trouble bool) int {
 	rec := fle.Record
-	if err := fle.Start(4, 2); err != nil {
+	if err := fle.Start(4, 2*zones); err != nil {
 		rec.Printf("start: %v", err)
 		return 2
 	}
-	for num := range 8 {
+	var workers []*fleet.Worker
+	for num := range 16 {
 		wor := &fleet.Worker{
 			ID:      fmt.Sprint("i-", num+1),
 			Service: "stoc",
@@ -75,6 +80,7 @@
 			rec.Printf("worker: %v", err)
 			return 2
 		}
+		workers = append(workers, wor)
 	}
 	cfg := fleet.Configuration(1, []map[string]any{fleet.Route("all", host, "/lepu270/", "safe", "stoc", "1000ms")},
 		[]map[string]any{fleet.Service("stoc", false)})
@@ -89,55 +95,80 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	rotation := fle.Entries
 	if trouble {
-		fle.Entries[1].Kill()
+		for _, pro := range fle.Entries[zones:] {
+			pro.Kill() // the second VM of its zone
+		}
 		time.Sleep(2 * time.Second)
-		rotation = fle.Entries[:1]
 	}
 	cli := &clients{
 		record: rec,
 	}
-	cli.run(rotation, trouble)
-	cli.wgr.Wait()
-	ends := 0
+	var wgr sync.WaitGroup
+	until := time.Now().Add(longest)
+	for zone := range zones {
+		rotation := []*fleet.Process{fle.Entries[zone]}
+		if !trouble {
+			rotation = append(rotation, fle.Entries[zones+zone])
+		}
+		wgr.Go(func() { cli.run(zone, rotation, until, trouble) })
+	}
+	wgr.Wait()
+	time.Sleep(2 * deadline) // the last requests are answered or given up
+	for _, wor := range workers {
+		rec.Printf("worker %s ran %d requests", wor.ID, len(wor.Runs()))
+	}
+	broken := 0
 	for _, pro := range fle.Entries {
-		ends += pro.OwnEnds
+		rec.Printf("%s ended by itself %d times", pro.Name, pro.OwnEnds)
+		if pro.OwnEnds >= ends {
+			broken++
+		}
 	}
-	rec.Printf("requests %d, served %d, failed %d, processes that ended by themselves %d", cli.sent.Load(), cli.served.Load(), cli.failed.Load(), ends)
+	rec.Printf("requests %d, served %d, failed %d, VMs that ended by themselves %d times: %d", cli.sent.Load(), cli.served.Load(), cli.failed.Load(), ends, broken)
 	switch {
 	case cli.served.Load() == 0:
 		return 2
-	case ends > 0:
+	case broken >= 2:
 		return 1
 	}
 	return 0
 }
 
-// clients send the requests of a zone.
+// clients send the requests of the zones.
 type clients struct {
 	record                     *fleet.Record
 	wgr                        sync.WaitGroup
 	sent, served, failed, open atomic.Int64
 }
 
-// run sends requests at the rate of the zone, in bursts if there is trouble, until the bursts are over or an entry VM has ended.
-func (cli *clients) run(rotation []*fleet.Process, trouble bool) {
+// run sends the requests of a zone to the entry VMs in rotation, until the time is over or one of these has ended often enough. It starts
+// a process again that has ended, as the platform does.
+func (cli *clients) run(zone int, rotation []*fleet.Process, until time.Time, trouble bool) {
 	rate := perSecond
 	if trouble {
 		rate *= burst
 	}
 	began := time.Now()
-	for num := 0; time.Since(began) < bursts*burstLength; num++ {
+	for num := 0; time.Now().Before(until); num++ {
 		time.Sleep(time.Until(began.Add(time.Duration(float64(num) / rate * float64(time.Second)))))
 		pro := rotation[num%len(rotation)]
 		if !pro.Running() {
-			return
+			if pro.OwnEnds >= ends {
+				return
+			}
+			time.Sleep(restartDelay)
+			if pro.Start(false) != nil || !pro.AwaitReady(10*time.Second) {
+				cli.record.Printf("%s does not start", pro.Name)
+				return
+			}
+			began, num = time.Now(), 0
 		}
-		cli.wgr.Go(func() { cli.request(pro, fmt.Sprintf("%016x", num)) })
-		if num%500 == 0 {
-			cli.record.Printf("requests %d, connections open %d, served %d, failed %d, memory of %s %d KiB", num, cli.open.Load(), cli.served.Load(),
-				cli.failed.Load(), pro.Name, pro.MemoryKiB())
+		attempt := fmt.Sprintf("%02x%06x%08x", zone, pro.OwnEnds, num)
+		cli.wgr.Go(func() { cli.request(pro, attempt) })
+		if num%1000 == 0 {
+			cli.record.Printf("%s: requests %d since its start, memory %d KiB; connections open %d, served %d, failed %d", pro.Name, num, pro.MemoryKiB(),
+				cli.open.Load(), cli.served.Load(), cli.failed.Load())
 		}
 	}
 }
@@ -163,10 +194,11 @@
 	}
 	if err != nil || res.StatusCode != http.StatusOK {
 		cli.failed.Add(1)
-		cli.record.Printf("request %s sent to %s failed: %v", attempt, pro.Name, err)
+		cli.record.Printf("request %s sent to %s, not answered: %v", attempt, pro.Name, err)
 		return
 	}
 	cli.served.Add(1)
+	cli.record.Printf("request %s sent to %s, answered %d", attempt, pro.Name, res.StatusCode)
 	_ = con.SetReadDeadline(time.Now().Add(keep))
 	_, _ = red.ReadByte() // until the entry VM closes the connection, or the time is over
 }
--- a/review/fleet-3/fleet.go
+++ b/review/fleet-3/fleet.go
@@ -33,8 +33,6 @@
 	MemoryMiB int
 	// Descriptors is the limit of descriptors of each entry VM, or 0.
 	Descriptors int
-	// EntryZone is the zone of all entry VMs. Empty: they are in all zones in turn.
-	EntryZone string
 }
 
 // Record writes what happens to a file.
@@ -128,16 +126,13 @@
 	for num := range entries {
 		pro := &Process{
 			Name:        fmt.Sprint("edge-", num+1),
-			Zone:        fle.EntryZone,
+			Zone:        ZoneName(num % 2),
 			Callers:     FreeAddress(),
 			Ready:       FreeAddress(),
 			Relay:       FreeAddress(),
 			Descriptors: fle.Descriptors,
 			fleet:       fle,
 		}
-		if pro.Zone == "" {
-			pro.Zone = ZoneName(num)
-		}
 		fle.Entries = append(fle.Entries, pro)
 	}
 	var seeds []string
