--- a/internal/bench/fpcut/paths.go
+++ b/internal/bench/fpcut/paths.go
@@ -123,6 +123,15 @@
 	ended   chan struct{}
 }
 
+// SyscallConn implements syscall.Conn.
+func (con *conn) SyscallConn() (syscall.RawConn, error) {
+	sys, ok := con.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return sys.SyscallConn()
+}
+
 // await waits while the path is lost in one of the given ways.
 func (con *conn) await(losses ...Loss) {
 	for {
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +23,19 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// errResetBeforeEnd is the error of a read after a reset that a write has met.
+var errResetBeforeEnd = errors.New("the connection was reset before its end")
+
 // socket records whether the peer ended the connection. A connection that this side closes, for example because a ping
 // got no answer, is no sign that the upstream crashed.
+//
+// It also tells a reset from the end of the stream. The kernel reports a reset once: if a write meets it, the next read returns the
+// end of the stream, and an answer that ends with the connection would pass for a whole one.
 type socket struct {
 	net.Conn
+	// writing is held during a write, and writeFailure is the error of the first write that failed.
+	writing       sync.Mutex
+	writeFailure  error
 	closedLocally atomic.Bool
 	endedByPeer   atomic.Bool
 	received      atomic.Int64
@@ -45,14 +57,41 @@
 	if num > 0 {
 		soc.receivedAt.Store(int64(time.Since(processStart)))
 	}
+	if err == io.EOF && soc.wasReset() {
+		err = errResetBeforeEnd
+	}
 	soc.recordError(err)
 	return num, err
 }
 
+// wasReset reports, after a read has returned the end of the stream, whether the connection has broken instead.
+func (soc *socket) wasReset() bool {
+	switch readStreamState(soc.Conn) {
+	case streamEnded:
+		return false
+	case streamUnknown:
+		// A write in progress may have met the reset already. It can take long if the peer has ended its side only.
+		if !soc.writing.TryLock() {
+			return true
+		}
+	case streamClosed:
+		// A write in progress returns now.
+		soc.writing.Lock()
+	}
+	defer soc.writing.Unlock()
+	// After the end of the stream, a reset is an EPIPE.
+	return soc.writeFailure != nil && !errors.Is(soc.writeFailure, syscall.EPIPE)
+}
+
 // Write records whether the peer ended the connection, which a write may be the first to detect.
 func (soc *socket) Write(buf []byte) (int, error) {
+	soc.writing.Lock()
+	defer soc.writing.Unlock()
 	num, err := soc.Conn.Write(buf)
 	soc.recordError(err)
+	if soc.writeFailure == nil {
+		soc.writeFailure = err
+	}
 	return num, err
 }
 
