--- a/internal/node/fpgate/start.go
+++ b/internal/node/fpgate/start.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// positionTimeout bounds the request for the position of a control VM: opening a connection and a round trip.
-	positionTimeout = dialTimeout + 60*time.Millisecond
+	// minPositionTimeout bounds the first requests for the positions of control VMs: opening a connection and a round trip. On a
+	// saturated link both take longer, so the timeout doubles each time no control VM answers, up to maxPollMargin.
+	minPositionTimeout = dialTimeout + 60*time.Millisecond
 	// startPatience is how long an entry VM that starts looks for a newer state than the newest one that it was offered. It is shorter
 	// than an election.
 	startPatience = 400 * time.Millisecond
@@ -24,16 +25,19 @@
 // none is, for instance after a restart of all VMs, it takes the newest one after startPatience, or at once if no newer one can
 // have been in force: a control VM may have been down or cut off for long.
 func (wat *watcher) begin(ctx context.Context) {
-	var offered time.Time
+	var answered time.Time // the time of the first answer
+	timeout := minPositionTimeout
 	for ctx.Err() == nil {
-		responses := wat.askPositions(ctx)
-		if newest, certain := fpdirectory.NewestResponse(responses); newest != "" {
-			if offered.IsZero() {
-				offered = time.Now()
-			}
-			if (certain || time.Since(offered) >= startPatience) && wat.takeFirst(ctx, newest) {
-				return
-			}
+		responses, at := wat.askPositions(ctx, timeout)
+		if len(responses) == 0 {
+			timeout = min(maxPollMargin, 2*timeout)
+		}
+		if answered.IsZero() {
+			answered = at
+		}
+		newest, certain := fpdirectory.NewestResponse(responses)
+		if newest != "" && (certain || time.Since(answered) >= startPatience) && wat.takeFirst(ctx, newest) {
+			return
 		}
 		sleep(ctx, retryPause)
 	}
@@ -56,17 +60,17 @@
 	return true
 }
 
-// askPositions asks all known control VMs for their positions at the same time. It returns when one is current, or when each has
-// answered or failed.
-func (wat *watcher) askPositions(ctx context.Context) map[string]*fpstate.WatchResponse {
-	ctx, cancel := context.WithTimeout(ctx, positionTimeout)
+// askPositions asks all known control VMs for their positions at the same time. It returns when one is current, when each has answered
+// or failed, or startPatience after the first answer, which came at the returned time.
+func (wat *watcher) askPositions(ctx context.Context, timeout time.Duration) (responses map[string]*fpstate.WatchResponse, answered time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	all := wat.addresses()
 	results := make(chan pollResult, len(all))
 	for _, address := range all {
 		go func() { results <- wat.askPosition(ctx, address) }()
 	}
-	responses := map[string]*fpstate.WatchResponse{}
+	responses = map[string]*fpstate.WatchResponse{}
 	for range all {
 		por := <-results
 		if por.err != nil {
@@ -77,8 +81,12 @@
 		if !por.res.GetStale() {
 			break
 		}
+		if answered.IsZero() {
+			answered = time.Now()
+			time.AfterFunc(startPatience, cancel)
+		}
 	}
-	return responses
+	return responses, answered
 }
 
 // askPosition asks a control VM for its position.
--- a/internal/node/fpgate/start_test.go
+++ b/internal/node/fpgate/start_test.go
@@ -44,12 +44,14 @@
 }
 
 // TestFirstStateIsTheNewest guards against an entry VM that starts after a restart of all VMs with the state of a control VM that was down
-// for long: while the others answer, and while one does not.
+// for long, and against one that waits for long: while the others answer, and while one does not.
 func TestFirstStateIsTheNewest(t *testing.T) {
-	for name, silent := range map[string]bool{
-		"all answer":      false,
-		"one is not up":   true,
-		"the newest last": false,
+	const bound = 2 * startPatience
+	for name, missing := range map[string]string{
+		"all answer":      "",
+		"the newest last": "",
+		"one is not up":   "127.0.0.1:1",
+		"one is frozen":   (&controlVM{frozen: true}).serve(t),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var seeds []string
@@ -66,8 +68,8 @@
 				seeds = append(seeds, strings.TrimPrefix(srv.URL, "http://"))
 				vms = append(vms, vmd)
 			}
-			if silent {
-				seeds = append(seeds, "127.0.0.1:1")
+			if missing != "" {
+				seeds = append(seeds, missing)
 			}
 			if name == "the newest last" {
 				slices.Reverse(seeds)
@@ -85,7 +87,8 @@
 			defer cancel()
 			began := time.Now()
 			wat.begin(ctx)
-			if took := time.Since(began); fwd.Index() != 30 || silent && took < startPatience {
+			took := time.Since(began)
+			if fwd.Index() != 30 || missing != "" && took < startPatience || took > bound {
 				t.Errorf("got the state up to index %d after %v, want 30", fwd.Index(), took)
 			}
 			select {
