--- a/internal/control/fpgroup/core.go
+++ b/internal/control/fpgroup/core.go
@@ -58,7 +58,8 @@
 	commit   uint64
 	known    uint64
 	recorded uint64
-	// recordAt is when the commit index may next be written without anything else to write.
+	// recordAt is when the commit index may next be written without anything else to write. It is later than the last write, because
+	// proposals often follow each other, and a write that has begun holds up the next one.
 	recordAt time.Duration
 	// dispatched is the highest index handed to the apply goroutine, applied the highest that it has finished.
 	dispatched uint64
@@ -285,7 +286,7 @@
 	return cor.next.snapshot != nil || len(cor.next.entries) > 0 || cor.durable != cor.hard
 }
 
-// needsRecord reports whether the commit index is due to be written without anything else, which happens at most every Heartbeat.
+// needsRecord reports whether the commit index is due to be written without anything else.
 func (cor *core) needsRecord() bool {
 	return cor.commit > cor.recorded && cor.now.mono >= cor.recordAt
 }
@@ -302,9 +303,7 @@
 		cor.releaseMessages(messages)
 		return nil
 	}
-	if !cor.needsWrite() {
-		cor.recordAt = cor.now.mono + cor.cfg.Heartbeat
-	}
+	cor.recordAt = cor.now.mono + cor.cfg.Heartbeat/2
 	bat := cor.next
 	bat.hard = cor.hard
 	// All entries of the log are on disk or in this batch.
--- a/internal/node/fpcontrol/service.go
+++ b/internal/node/fpcontrol/service.go
@@ -180,7 +180,6 @@
 	group := con.group.Status()
 	res := con.watchResponse(&fpstate.State{}, con.directory.Index(), con.stale(ctx) || !isCurrent(group, group.Known))
 	res.Committed = group.Commit
-	res.Last = group.LastIndex
 	return res
 }
 
--- a/internal/node/fpgate/start.go
+++ b/internal/node/fpgate/start.go
@@ -16,14 +16,16 @@
 	// minPositionTimeout bounds the first requests for the positions of control VMs: opening a connection and a round trip. On a
 	// saturated link both take longer, so the timeout doubles each time no control VM answers, up to maxPollMargin.
 	minPositionTimeout = dialTimeout + 60*time.Millisecond
-	// startPatience is how long an entry VM that starts looks for a newer state than the newest one that it was offered. It is shorter
-	// than an election.
-	startPatience = 400 * time.Millisecond
+	// startPatience is how long an entry VM that starts waits for control VMs that don't answer while others do. It is about the time in
+	// which processes that start together are up, and shorter than an election.
+	startPatience = 250 * time.Millisecond
+	// startPause is the time between two requests for the positions.
+	startPause = 20 * time.Millisecond
 )
 
 // begin puts the first state in force. It asks all control VMs for their positions and takes the state from one that is current. If
-// none is, for instance after a restart of all VMs, it takes the newest one after startPatience, or at once if no newer one can
-// have been in force: a control VM may have been down or cut off for long.
+// none is, for instance after a restart of all VMs, it takes the newest one, when all have answered or after startPatience: a control
+// VM may have been down or cut off for long.
 func (wat *watcher) begin(ctx context.Context) {
 	var answered time.Time // the time of the first answer
 	timeout := minPositionTimeout
@@ -35,11 +37,11 @@
 		if answered.IsZero() {
 			answered = at
 		}
-		newest, certain := fpdirectory.NewestResponse(responses)
-		if newest != "" && (certain || time.Since(answered) >= startPatience) && wat.takeFirst(ctx, newest) {
+		newest, complete := fpdirectory.NewestResponse(responses)
+		if newest != "" && (complete || time.Since(answered) >= startPatience) && wat.takeFirst(ctx, newest) {
 			return
 		}
-		sleep(ctx, retryPause)
+		sleep(ctx, startPause)
 	}
 }
 
