--- a/internal/node/fpcontrol/memberssim_test.go
+++ b/internal/node/fpcontrol/memberssim_test.go
@@ -278,9 +278,15 @@
 	return false
 }
 
-// put commits the next configuration within a limit.
+// put commits the next configuration within a limit, and reports whether it did.
 func (sim *memberSim) put(limit time.Duration) bool {
-	next := sim.revision + 1
+	return sim.putConfiguration(limit, &fpstate.Configuration{
+		Revision: sim.revision + 1,
+	})
+}
+
+// putConfiguration does what put does for a given configuration.
+func (sim *memberSim) putConfiguration(limit time.Duration, cfg *fpstate.Configuration) bool {
 	return sim.await(limit, func() bool {
 		vmd := sim.leader()
 		if vmd == nil {
@@ -288,12 +294,10 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 		defer cancel()
-		if vmd.running().put(ctx, &fpstate.Configuration{
-			Revision: next,
-		}) != nil {
+		if vmd.running().put(ctx, cfg) != nil {
 			return false
 		}
-		sim.revision = next
+		sim.revision = cfg.GetRevision()
 		return true
 	})
 }
--- a/internal/node/fpcontrol/storedstate_test.go
+++ b/internal/node/fpcontrol/storedstate_test.go
@@ -74,26 +74,13 @@
 
 // change commits a configuration within a limit, of 3 MiB if big is set, and reports whether it did.
 func (sim *stateSim) change(limit time.Duration) bool {
-	next := sim.revision + 1
 	cfg := &fpstate.Configuration{
-		Revision: next,
+		Revision: sim.revision + 1,
 	}
 	if sim.big {
 		cfg.Document = []byte(strings.Repeat("x", 3<<20))
 	}
-	return sim.await(limit, func() bool {
-		vmd := sim.leader()
-		if vmd == nil {
-			return false
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-		defer cancel()
-		if vmd.running().put(ctx, cfg) != nil {
-			return false
-		}
-		sim.revision = next
-		return true
-	})
+	return sim.putConfiguration(limit, cfg)
 }
 
 // ask asks a control VM over the simulated network, from an entry VM.
