fpforward: log and count the attempts that an entry VM ends by itself

One error text told why; how long the VM had heard nothing, how late the check of the path was, and whether the VM was stopping was in no line, so that a loss of the path, a full link and the end of the stop could not be told apart.

A line for each attempt that the VM ends for one of these reasons has the inputs of the decision, ended.CAUSE in /metrics counts all, and lines of requests tell the time since the stop began. No decision has changed.

--- a/internal/route/fpforward/counters.go
+++ b/internal/route/fpforward/counters.go
@@ -183,6 +183,7 @@
 		fields = append(fields, zap.String("upstream", mem.upstream.GetId()), zap.Float64("load", sta.load),
 			zap.Int64("loadAgeMs", sta.loadAge.Milliseconds()), zap.Int64("meanMs", sta.mean.Milliseconds()))
 	}
+	fields = append(fields, exc.fwd.stop.fields(time.Now())...)
 	if exc.excluded != "" && err != nil {
 		fields = append(fields, zap.String("excludedBy", exc.excluded), zap.Strings("allowedRegions", exc.homes()))
 	}
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -354,12 +354,16 @@
 	mem.scheduleExploration(exc.fwd.exploreDelay())
 	tim := newProcessingTimer(time.Now())
 	sentAt := time.Now()
+	before := con.Received()
 	watched, stopWatch := exc.watchPath(ctx, mem, cho.state.expectedTime(), con.Received)
 	rep, err := exc.send(tim.trace(watched, len(exc.body)), mem, link{
 		ExclusiveConn: con,
 		pool:          mem.connections,
 	})
 	stopWatch()
+	if err != nil {
+		exc.countEnd(watched, cho, sentAt, con.Received()-before)
+	}
 	mem.endRequest()
 	exc.endPlace(cho, err)
 	if rep != nil {
--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -140,7 +140,12 @@
 
 // silent reports whether no upstream at all has been heard for a number of silence limits.
 func (trk *pathTracker) silent(now time.Time, limits int) bool {
-	return now.Sub(time.Unix(0, trk.provenAt.Load())) >= time.Duration(limits)*trk.silenceLimit()
+	return trk.silence(now) >= time.Duration(limits)*trk.silenceLimit()
+}
+
+// silence returns how long no upstream has been heard.
+func (trk *pathTracker) silence(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, trk.provenAt.Load()))
 }
 
 // recordLoss records the loss of a path that was well before.
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -293,12 +293,16 @@
 	mem.beginRequest()
 	exc.fwd.peers.Begin(pee, time.Now())
 	sentAt := time.Now()
+	before := con.Received()
 	tim := newProcessingTimer(sentAt)
 	rep, err := exc.send(tim.trace(ctx, len(exc.body)), mem, link{
 		ExclusiveConn: con,
 		pool:          pol,
 		peer:          pee,
 	})
+	if err != nil {
+		exc.countEnd(ctx, cho, sentAt, con.Received()-before)
+	}
 	mem.endRequest()
 	exc.fwd.peers.End(pee)
 	took := tim.elapsed(time.Now())
--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/foxtailpulley/foxtailpulley/internal/base/fperror"
 )
 
@@ -20,6 +22,8 @@
 
 // stop is the planned stop of a VM.
 type stop struct {
+	// began is when the stop began, in nanoseconds of the Unix time, or 0 before the stop.
+	began atomic.Int64
 	// end is when the requests in flight are ended, or nil before the stop.
 	end atomic.Pointer[time.Time]
 	// ended ends at that time.
@@ -32,9 +36,19 @@
 // begun reports whether the VM is stopping.
 func (sto *stop) begun() bool { return sto.end.Load() != nil }
 
+// fields returns the fields of a log line that tell how long the VM has been stopping, or none.
+func (sto *stop) fields(now time.Time) []zap.Field {
+	began := sto.began.Load()
+	if began == 0 {
+		return nil
+	}
+	return []zap.Field{zap.Int64("stoppingMs", now.Sub(time.Unix(0, began)).Milliseconds())}
+}
+
 // Stop begins the planned stop of the VM. Answers ask callers to close their connections, and requests that may not be answered before
 // the given time are refused as not run. Requests that are still in flight at that time are answered with an error.
 func (fwd *Forwarder) Stop(end time.Time) {
+	fwd.stop.began.CompareAndSwap(0, time.Now().UnixNano())
 	if fwd.stop.end.CompareAndSwap(nil, &end) {
 		time.AfterFunc(time.Until(end), fwd.stop.cancel)
 	}
