fpforward: silence ends no attempt, another one begins beside it

Cause: watchPath ended an attempt once the VM had heard no upstream for two silence limits (0.3 to 1.2 s) and a new connection was late. A VM whose link is full, or that gets no processor time, sees just that. What came next was open: no retry in the budget, no other owner of the key, no peer, or a peer that stops left the caller with 502.

Change: the attempt goes on. Another one begins beside it if the budget, the route's attempts and the stop allow it; the first whole answer is the caller's and ends the others. The preparation of another attempt ends when one in progress ends. A peer, which makes one attempt, waits for its answer. The number of runs, retries, tokens and places per request is counted as before. The line of an attempt that was ended on a lost path has become one for an attempt that goes on.

--- a/internal/route/fpforward/answer.go
+++ b/internal/route/fpforward/answer.go
@@ -31,9 +31,6 @@
 	err := exc.bufferAnswer(from, res.ContentLength, rep)
 	if err != nil {
 		con.Close()
-		if errors.Is(context.Cause(ctx), errPathLost) {
-			return fperror.Wrap(fperror.UpstreamLost, errPathLost, "answer of upstream %s", mem.upstream.GetId())
-		}
 		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return fperror.Wrap(fperror.OutcomeUnknown, err, "the answer of upstream %s did not end in time", mem.upstream.GetId())
 		}
--- a/internal/route/fpforward/answermemory.go
+++ b/internal/route/fpforward/answermemory.go
@@ -22,6 +22,8 @@
 	if !from.TryAcquire(bytes) {
 		return false
 	}
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
 	exc.held = append(exc.held, heldMemory{
 		from:  from,
 		bytes: bytes,
@@ -31,6 +33,8 @@
 
 // releaseAnswers releases the memory of all answers to the request.
 func (exc *exchange) releaseAnswers() {
+	exc.mutex.Lock()
+	defer exc.mutex.Unlock()
 	for _, hel := range exc.held {
 		hel.from.Release(hel.bytes)
 	}
--- a/internal/route/fpforward/connect.go
+++ b/internal/route/fpforward/connect.go
@@ -42,7 +42,7 @@
 		go exc.fwd.confirmEnded(mem)
 	}
 	switch {
-	case exc.request.Context().Err() != nil || !time.Now().Before(exc.deadline):
+	case ctx.Err() != nil || !time.Now().Before(exc.deadline):
 	case processEnded(err) || exc.fwd.paths.silent(time.Now(), 1):
 		exc.fwd.losePath(mem, began, err)
 	default:
--- a/internal/route/fpforward/ended.go
+++ b/internal/route/fpforward/ended.go
@@ -12,8 +12,8 @@
 type endCause string
 
 const (
-	// endedByPath means that the path to the upstream counted as lost.
-	endedByPath endCause = "pathLost"
+	// endedByAnswer means that another attempt has been answered.
+	endedByAnswer endCause = "superseded"
 	// endedByStop means that the planned stop of this VM came to its end.
 	endedByStop endCause = "stop"
 	// endedByDeadline means that the deadline of the request has passed.
@@ -22,49 +22,57 @@
 	endedByCaller endCause = "caller"
 )
 
-// endCauseOf returns why this VM ended an attempt with the given context, or "" if it did not.
-func (exc *exchange) endCauseOf(ctx context.Context) endCause {
+// endCause returns why this VM ended an attempt, or "" if it did not.
+func (exc *exchange) endCause(att *attempt) endCause {
 	switch {
-	case errors.Is(context.Cause(ctx), errPathLost):
-		return endedByPath
-	case ctx.Err() == nil:
+	case errors.Is(context.Cause(att.ctx), errSuperseded):
+		return endedByAnswer
+	case att.ctx.Err() == nil:
 		return ""
 	case exc.request.Context().Err() != nil:
 		return endedByCaller
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(att.ctx.Err(), context.DeadlineExceeded):
 		return endedByDeadline
 	default:
 		return endedByStop
 	}
 }
 
-// countEnd counts an attempt without an answer by what ended it, if that was this VM. For a cause that the line of the request does
-// not tell, it also writes a line with the inputs of the decision. received is the number of bytes of the answer.
-func (exc *exchange) countEnd(ctx context.Context, cho choice, began time.Time, received int64) {
-	cause := exc.endCauseOf(ctx)
+// logEnd counts an attempt without an answer by what ended it, if that was this VM. For a cause that the line of the request does not
+// tell, it also writes a line.
+func (exc *exchange) logEnd(att *attempt) {
+	cause := exc.endCause(att)
 	if cause == "" {
 		return
 	}
 	exc.fwd.counters.add("ended." + string(cause))
-	if cause != endedByPath && cause != endedByStop {
-		return
+	if cause == endedByAnswer || cause == endedByStop {
+		exc.fwd.cfg.Log.Info("attempt ended by this VM", append(exc.attemptFields(att), zap.String("cause", string(cause)))...)
 	}
+}
+
+// logSuspicion counts and logs an attempt that goes on although its path counts as lost.
+func (exc *exchange) logSuspicion(att *attempt) {
+	exc.fwd.counters.add("attemptsInDoubt")
+	exc.fwd.cfg.Log.Info("the path of an attempt counts as lost, the attempt goes on", exc.attemptFields(att)...)
+}
+
+// attemptFields returns the fields of a log line on an attempt without an answer.
+func (exc *exchange) attemptFields(att *attempt) []zap.Field {
 	now := time.Now()
 	fields := []zap.Field{
 		zap.String("id", exc.info.Attempt),
-		zap.String("cause", string(cause)),
-		zap.String("upstream", cho.member.upstream.GetId()),
-		zap.Int64("ageMs", now.Sub(began).Milliseconds()),
-		zap.Int64("received", received),
+		zap.String("upstream", att.choice.member.upstream.GetId()),
+		zap.Int64("ageMs", now.Sub(att.sentAt).Milliseconds()),
+		zap.Int64("received", att.con.Received()-att.received),
 		zap.Bool("repeatable", exc.repeatable()),
 		zap.Int("runs", exc.runs),
 		zap.Int64("silentMs", exc.fwd.paths.silence(now).Milliseconds()),
 		zap.Int64("silenceLimitMs", exc.fwd.paths.silenceLimit().Milliseconds()),
-		zap.Int64("connectLimitMs", exc.fwd.paths.checkTimeout(cho.member.distance).Milliseconds()),
+		zap.Int64("connectLimitMs", exc.fwd.paths.checkTimeout(att.choice.member.distance).Milliseconds()),
 	}
-	if cho.peer != nil {
-		fields = append(fields, zap.String("through", cho.peer.VM()))
+	if pee := att.choice.peer; pee != nil {
+		fields = append(fields, zap.String("through", pee.VM()))
 	}
-	fields = append(fields, exc.fwd.stop.fields(now)...)
-	exc.fwd.cfg.Log.Info("attempt ended by this VM", fields...)
+	return append(fields, exc.fwd.stop.fields(now)...)
 }
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -1,10 +1,10 @@
 package fpforward
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,11 +58,19 @@
 	contentDigest string
 	// rest is what follows body, or nil.
 	rest *bodyRemainder
+	// mutex guards held and stopPreparing while several attempts are in progress.
+	mutex sync.Mutex
 	// held is the memory that answers hold.
 	held []heldMemory
+	// stopPreparing ends the preparation of another attempt, or is nil.
+	stopPreparing context.CancelFunc
 	// uploadSent releases the part of the link that is reserved for sending the body. Nil: none is.
 	uploadSent func()
 
+	// open are the attempts in progress, each of which is sent on ended when it has ended.
+	open  map[*attempt]bool
+	ended chan *attempt
+
 	// tried are the upstreams that are not chosen again for this request.
 	tried         map[*member]bool
 	refusedFences map[uint64]bool // fences whose holder has refused the request
@@ -110,6 +118,8 @@
 		start:         arrived,
 		tried:         map[*member]bool{},
 		refusedFences: map[uint64]bool{},
+		open:          map[*attempt]bool{},
+		ended:         make(chan *attempt, maxArrivals),
 	}
 }
 
@@ -248,45 +258,6 @@
 	return false
 }
 
-// sendWithRetries sends the request until it is answered, or until no further attempt is allowed. If the request may
-// have run, the error is that of the last attempt after which it may have.
-func (exc *exchange) sendWithRetries(ctx context.Context) (*reply, error) {
-	var failure error
-	for {
-		var cho choice
-		err := exc.checkQuarantine(time.Now())
-		if err == nil {
-			cho, err = exc.choose(ctx)
-		}
-		if cho.member != nil {
-			exc.lastChoice = cho
-		}
-		if err == nil && exc.arrivals > 0 {
-			err = exc.takeRetry(time.Now())
-		}
-		if err != nil {
-			if failure == nil || fperror.KindOf(failure).Answer().Outcome() == fperror.NotRun {
-				failure = err
-			}
-			break
-		}
-		rep, err := exc.attempt(ctx, cho)
-		if err == nil {
-			return rep, nil
-		}
-		if failure == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun {
-			failure = err
-		}
-		if ctx.Err() != nil || !exc.mayRetry(err) {
-			break
-		}
-	}
-	if exc.fallback != nil && ctx.Err() == nil {
-		return exc.fallback, nil
-	}
-	return nil, failure
-}
-
 // finalError returns the error for the caller after the last attempt.
 func (exc *exchange) finalError(ctx context.Context, failure error) error {
 	switch {
@@ -299,118 +270,6 @@
 	}
 }
 
-// mayRetry reports whether the request may be sent to another upstream after a failed attempt.
-func (exc *exchange) mayRetry(err error) bool {
-	var rel *relayError
-	if errors.As(err, &rel) && !rel.reason.sent() {
-		ownRefusal := rel.reason == relayRefused || rel.reason == relayResting
-		return !exc.rest.maybeSent() && !(ownRefusal && exc.keyed)
-	}
-	if fperror.Is(err, fperror.Overloaded) && exc.keyed {
-		// Only the owner can run the request, and it accepts no new connection.
-		return false
-	}
-	if exc.rest.maybeSent() || exc.ownerFull || exc.outOfRoom() || exc.connectFailures >= maxConnectFailures || exc.arrivals >= maxArrivals {
-		return false
-	}
-	if fperror.KindOf(err).Answer().Outcome() == fperror.NotRun {
-		return true
-	}
-	return exc.repeatable() && exc.runs < max(1, int(exc.route.GetMaxAttempts())) && !exc.onProbation()
-}
-
-// attempt sends the request to one upstream. A nil error means that the answer is for the caller.
-func (exc *exchange) attempt(ctx context.Context, cho choice) (*reply, error) {
-	if cho.peer != nil {
-		return exc.relay(ctx, cho)
-	}
-	mem := cho.member
-	if err := exc.takeRate(ctx, cho); err != nil {
-		return nil, err
-	}
-	if err := exc.takePlace(ctx, cho); err != nil {
-		exc.returnRate(mem)
-		return nil, err
-	}
-	con, err := exc.connect(ctx, cho)
-	if err != nil {
-		exc.returnRate(mem)
-		exc.returnPlace(mem)
-		return nil, err
-	}
-	if err := cmp.Or(exc.checkExclusion(mem), exc.checkLeft(mem), exc.checkRest(mem), exc.checkCold(mem), exc.checkStop(time.Now(), cho.state)); err != nil {
-		exc.returnRate(mem)
-		exc.returnPlace(mem)
-		mem.connections.PutUnused(con)
-		return nil, err
-	}
-	if !con.Used() {
-		exc.fwd.counters.add("connections")
-	}
-	exc.arrivals++
-	exc.runs++
-	exc.tried[mem] = true
-	mem.beginRequest()
-	mem.scheduleExploration(exc.fwd.exploreDelay())
-	tim := newProcessingTimer(time.Now())
-	sentAt := time.Now()
-	before := con.Received()
-	watched, stopWatch := exc.watchPath(ctx, mem, cho.state.expectedTime(), con.Received)
-	rep, err := exc.send(tim.trace(watched, len(exc.body)), mem, link{
-		ExclusiveConn: con,
-		pool:          mem.connections,
-	})
-	stopWatch()
-	if err != nil {
-		exc.countEnd(watched, cho, sentAt, con.Received()-before)
-	}
-	mem.endRequest()
-	exc.endPlace(cho, err)
-	if rep != nil {
-		exc.fwd.proveDirect(mem, time.Now())
-		exc.countAnswer(rep)
-	}
-	exc.observeRate(mem, sentAt, rep, err)
-	exc.observeCold(mem, sentAt, rep)
-	exc.observeLeaving(mem, rep)
-	took := tim.elapsed(time.Now())
-	exc.fwd.counters.observe("upstream", took)
-	exc.observeRoomAnswer(cho, rep, err, con.Crashed(), took)
-	if err != nil && con.Crashed() {
-		// If the connection was new and the time too short for a run, the upstream probably accepts no more connections.
-		noRoom := !con.Used() && took < cho.state.mean/2
-		if noRoom {
-			mem.recordReset(time.Now())
-		}
-		exc.recordInterruption(mem, time.Now(), !noRoom)
-	}
-	return exc.finishAttempt(cho, rep, err, took)
-}
-
-// finishAttempt updates the state of the upstream after an attempt that has taken some time, and decides whether its answer is
-// for the caller.
-func (exc *exchange) finishAttempt(cho choice, rep *reply, err error, took time.Duration) (*reply, error) {
-	mem := cho.member
-	if err == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun {
-		exc.fwd.answerTimes.observe(time.Now(), exc.route.GetName(), took)
-	}
-	if err != nil {
-		exc.recordFailure(cho, rep, err, took)
-		return nil, err
-	}
-	exc.clearSuspect(time.Now().Add(-took))
-	exc.observeRest(mem, rep)
-	mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
-	if exc.keyed {
-		exc.fwd.load.addAnswer(exc.service, mem.upstream.GetId(), mem.state(time.Now()).mean)
-	}
-	if exc.retryFailedAnswer(rep) {
-		exc.fallback = rep
-		return nil, fperror.New(fperror.UpstreamLost, "upstream %s answered with status %d", mem.upstream.GetId(), rep.status)
-	}
-	return rep, nil
-}
-
 // takeRate takes a token if the upstream has named a request rate, and another one if it is cold. Without one, the error is of kind Overloaded.
 func (exc *exchange) takeRate(ctx context.Context, cho choice) error {
 	ok, wait := exc.fwd.rates.Take(ctx, cho.member.rateKey(), !exc.lowPriority, cho.waitForRate)
@@ -465,7 +324,7 @@
 			exc.refusedFences[cho.keyRange.GetFence()] = true
 		}
 	case fperror.UpstreamLost, fperror.AnswerTruncated:
-		if errors.Is(err, errPathLost) || cho.peer != nil {
+		if cho.peer != nil {
 			break // the upstream need not be at fault
 		}
 		mem.recordFailure()
--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -46,7 +46,7 @@
 	connectDeviations      = 4
 )
 
-// errPathLost ends the attempt of an idempotent request whose connection hangs.
+// errPathLost is returned for a path that counts as lost because a connection is not open in time.
 var errPathLost = errors.New("the path to the upstream is lost")
 
 // pathStatus is what a VM knows of its own path to an upstream.
@@ -356,29 +356,27 @@
 	return chk.err
 }
 
-// watchPath returns a context for an attempt and watches its path until the returned function is called. If the connection
-// hangs, it marks the path as lost. If no upstream is heard, it also ends the attempt of an idempotent request with the cause
-// errPathLost. expected is the expected time of the answer, and received returns the number of bytes that the connection has
-// received.
-func (exc *exchange) watchPath(ctx context.Context, mem *member, expected time.Duration, received func() int64) (context.Context, func()) {
-	ctx, abandon := context.WithCancelCause(ctx)
-	began, before := time.Now(), received()
+// watchPath watches the path of an attempt until the returned function is called. If the connection hangs, it marks the path as lost. If
+// no upstream is heard, it also closes att.suspected. It never ends the attempt: a VM whose link is full or that gets no processor time
+// hears nothing either, while the upstream is at work.
+func (exc *exchange) watchPath(att *attempt) (stop func()) {
+	mem, expected := att.choice.member, att.choice.state.expectedTime()
+	hangs := func() bool { return att.con.Received() == att.received }
 	var mutex sync.Mutex
 	stopped := false
 	var timer *time.Timer
 	look := func() {
 		lost := false
-		if received() == before && exc.fwd.pathSilent(mem, began, expected) {
+		if hangs() && exc.fwd.pathSilent(mem, att.sentAt, expected) {
 			err := exc.fwd.checkPath(mem)
-			// While others are heard, the upstream may only be slow, and an answer must not be ended for that.
-			lost = err != nil && !processEnded(err) && received() == before && exc.fwd.paths.silent(time.Now(), 2)
+			lost = err != nil && !processEnded(err) && hangs() && exc.fwd.paths.silent(time.Now(), 2)
 		}
 		mutex.Lock()
 		defer mutex.Unlock()
 		switch {
 		case stopped:
-		case lost && exc.repeatable() && !exc.rest.maybeSent():
-			abandon(errPathLost)
+		case lost && exc.mayOverlap():
+			close(att.suspected)
 		default:
 			timer.Reset(watchInterval)
 		}
@@ -386,7 +384,7 @@
 	mutex.Lock()
 	timer = time.AfterFunc(silenceCheck, look)
 	mutex.Unlock()
-	return ctx, func() {
+	return func() {
 		mutex.Lock()
 		defer mutex.Unlock()
 		stopped = true
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -257,73 +257,65 @@
 	}
 }
 
-// relay sends the request to one upstream through a peer. A nil error means that the answer is for the caller.
-func (exc *exchange) relay(ctx context.Context, cho choice) (*reply, error) {
+// relay is attempt through a peer.
+func (exc *exchange) relay(ctx, prepare context.Context, cho choice) (*reply, error) {
 	mem, pee := cho.member, cho.peer
 	if cho.state.path == pathSuspect {
 		exc.fwd.startCheck(mem)
 	}
 	// The peer keeps the rate of the upstream, too, but may not have heard of it.
-	if err := exc.takeRate(ctx, cho); err != nil {
+	if err := exc.takeRate(prepare, cho); err != nil {
 		return nil, err
 	}
-	sent := false
-	defer func() {
-		if !sent {
-			exc.returnRate(mem)
-		}
-	}()
 	pol := exc.fwd.peerPools.pool(pee)
 	con := pol.Get(time.Now(), exc.info.Attempt, !exc.repeatable())
 	if con == nil {
 		var err error
-		if con, err = pol.Open(ctx); err != nil {
-			if ctx.Err() == nil {
+		if con, err = pol.Open(prepare); err != nil {
+			exc.returnRate(mem)
+			if prepare.Err() == nil {
 				exc.recordRelayFailure(cho, err)
 			}
 			return nil, err
 		}
 	}
 	if err := cmp.Or(exc.checkExclusion(mem), exc.checkStop(time.Now(), cho.state)); err != nil {
+		exc.returnRate(mem)
 		pol.PutUnused(con)
 		return nil, err
 	}
-	exc.arrivals++
-	exc.runs++
-	mem.beginRequest()
 	exc.fwd.peers.Begin(pee, time.Now())
-	sentAt := time.Now()
-	before := con.Received()
-	tim := newProcessingTimer(sentAt)
-	rep, err := exc.send(tim.trace(ctx, len(exc.body)), mem, link{
+	return exc.run(ctx, cho, link{
 		ExclusiveConn: con,
 		pool:          pol,
 		peer:          pee,
 	})
-	if err != nil {
-		exc.countEnd(ctx, cho, sentAt, con.Received()-before)
-	}
-	mem.endRequest()
+}
+
+// concludeRelay is conclude for an attempt through a peer.
+func (exc *exchange) concludeRelay(att *attempt) (*reply, error) {
+	cho, rep, err := att.choice, att.reply, att.err
+	mem, pee := cho.member, cho.peer
 	exc.fwd.peers.End(pee)
-	took := tim.elapsed(time.Now())
+	took := att.timer.elapsed(time.Now())
 	var rel *relayError
 	if errors.As(err, &rel) || err != nil && rep == nil && !fperror.Is(err, fperror.OutcomeUnknown) && exc.request.Context().Err() == nil {
 		exc.recordRelayFailure(cho, err)
 	}
 	if rel != nil && !rel.reason.sent() {
+		exc.returnRate(mem)
 		exc.arrivals--
 		exc.runs--
 		return nil, err
 	}
-	sent = true
 	exc.tried[mem] = true
 	if rep != nil {
 		exc.countAnswer(rep)
 		exc.fwd.counters.add("relayed")
 		exc.fwd.peers.Succeed(pee, time.Now())
 		mem.recordRelay(time.Now(), true)
-		exc.observeRate(mem, sentAt, rep, err)
-		exc.observeCold(mem, sentAt, rep)
+		exc.observeRate(mem, att.sentAt, rep, err)
+		exc.observeCold(mem, att.sentAt, rep)
 		exc.observeLeaving(mem, rep)
 	}
 	return exc.finishAttempt(cho, rep, err, took)
--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -211,7 +211,7 @@
 	}
 	defer releaseBundle()
 	mem.addRelayed(1)
-	rep, err := exc.attempt(ctx, cho)
+	rep, err := exc.attempt(ctx, ctx, cho)
 	mem.addRelayed(-1)
 	exc.respondRelayed(rep, err)
 }
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -74,9 +74,6 @@
 		if endless {
 			return nil, fperror.Wrap(fperror.UpstreamLost, errAnswerTooLong, "read the header of an answer of upstream %s", mem.upstream.GetId())
 		}
-		if errors.Is(context.Cause(ctx), errPathLost) {
-			return nil, fperror.Wrap(fperror.UpstreamLost, errPathLost, "connection to upstream %s", mem.upstream.GetId())
-		}
 		if ctx.Err() != nil || fperror.Is(err, fperror.DeadlineExceeded) {
 			return nil, fperror.Wrap(fperror.OutcomeUnknown, err, "upstream %s did not answer in time", mem.upstream.GetId())
 		}
