--- a/internal/route/fpforward/ended.go
+++ b/internal/route/fpforward/ended.go
@@ -29,12 +29,12 @@
 		return endedByAnswer
 	case att.ctx.Err() == nil:
 		return ""
-	case exc.request.Context().Err() != nil:
-		return endedByCaller
 	case errors.Is(att.ctx.Err(), context.DeadlineExceeded):
 		return endedByDeadline
-	default:
+	case exc.fwd.stop.ended.Err() != nil && exc.request.Context().Err() == nil:
 		return endedByStop
+	default:
+		return endedByCaller // its connection has ended before the turn of a pipelined request
 	}
 }
 
