fpforward: in the second half of a stop, only the deadline admits a request

What callers saw: during the planned stop of an entry VM, requests that were sent up to 5.1 s after the signal were passed on, and given up at that time with 504 while their upstream was at work.

Cause: checkStop admitted a request if 2 or 8 times the longest answer of the last 30 to 60 s fitted. If service times rise after the signal, that says nothing about the next answer.

Evidence, on: TestLateRequestsBesideSlowerUpstream (simulated time; the upstream answers within 20 ms before the signal, and within 2.5 or 10 s after it; one request every 100 ms, timeouts of 0.5, 3 and 5 s) found 170 requests given up that were sent in the second half: 44 of each run of the idempotent route, 41 of the one whose requests run once, 0 of uploads. "sent 3.1s after the signal, timeout 3s: given up 5.1s after the signal with the upstream at work: {status:504 runs:1 took:}".

Change: from half of promises.stop on, a request is admitted only if its own deadline is before the end, as uploads are in the whole stop. Others are refused at once as not run, with Retry-After 0. The estimate stays for the first half, in which callers still arrive, and for second attempts of requests that may have run: their outcome is unknown already (TestRetryLateInStop, which fails if these are refused, too).

--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -11,7 +11,7 @@
 
 const (
 	// stopFactor is the multiple of the longest measured time of an answer that must be left when an idempotent request is sent
-	// during a stop, and stopFactorOnce that for all other requests, whose callers may not repeat them if the answer is cut off.
+	// early in a stop, and stopFactorOnce that for all other requests, whose callers may not repeat them if the answer is cut off.
 	stopFactor     = 2
 	stopFactorOnce = 8
 	// answerTimePeriod is the time after which the longest time of an answer is forgotten.
@@ -20,22 +20,32 @@
 
 // stop is the planned stop of a VM.
 type stop struct {
-	// end is when the requests in flight are ended, or nil before the stop.
-	end atomic.Pointer[time.Time]
+	// times are nil before the stop.
+	times atomic.Pointer[stopTimes]
 	// ended ends at that time.
 	ended  context.Context
 	cancel context.CancelFunc
 }
 
+// stopTimes are the times of a planned stop.
+type stopTimes struct {
+	// half is when half of the time between the stop signal and the kill has passed, and end when the requests in flight are ended.
+	half, end time.Time
+}
+
 func (sto *stop) init() { sto.ended, sto.cancel = context.WithCancel(context.Background()) }
 
 // begun reports whether the VM is stopping.
-func (sto *stop) begun() bool { return sto.end.Load() != nil }
+func (sto *stop) begun() bool { return sto.times.Load() != nil }
 
 // Stop begins the planned stop of the VM. Answers ask callers to close their connections, and requests that may not be answered before
 // the given time are refused as not run. Requests that are still in flight at that time are answered with an error.
 func (fwd *Forwarder) Stop(end time.Time) {
-	if fwd.stop.end.CompareAndSwap(nil, &end) {
+	times := &stopTimes{
+		half: time.Now().Add(fwd.cfg.Promises.Stop / 2),
+		end:  end,
+	}
+	if fwd.stop.times.CompareAndSwap(nil, times) {
 		time.AfterFunc(time.Until(end), fwd.stop.cancel)
 	}
 }
@@ -53,25 +63,34 @@
 // checkStop returns an error of kind Draining if this VM is stopping and an upstream in the given state may not answer the request
 // before the end. A refusal costs the caller one attempt at another VM, and an answer that is cut off leaves the outcome unknown.
 func (exc *exchange) checkStop(now time.Time, sta memberState) error {
-	end := exc.fwd.stop.end.Load()
-	if end == nil {
+	times := exc.fwd.stop.times.Load()
+	if times == nil {
 		return nil
 	}
 	needed := exc.deadline.Sub(now)
-	if longest := exc.fwd.answerTimes.longest(now, exc.route.GetName()); longest > 0 && !exc.isLarge() {
-		factor := time.Duration(stopFactorOnce)
-		if exc.repeatable() {
-			factor = stopFactor
+	if exc.mayExceedStop(now, times) {
+		if longest := exc.fwd.answerTimes.longest(now, exc.route.GetName()); longest > 0 {
+			factor := time.Duration(stopFactorOnce)
+			if exc.repeatable() {
+				factor = stopFactor
+			}
+			needed = min(needed, factor*max(longest, sta.expectedTime()))
 		}
-		needed = min(needed, factor*max(longest, sta.expectedTime()))
 	}
-	if left := end.Sub(now); needed > left {
+	if left := times.end.Sub(now); needed > left {
 		exc.fwd.counters.add("stopRefused")
 		return fperror.New(fperror.Draining, "this VM stops in %v, and the request may need %v", left, needed)
 	}
 	return nil
 }
 
+// mayExceedStop reports whether the request may be sent although its deadline is after the end of the stop, if earlier answers took
+// little time. Later ones may take longer, so this holds only while most of the stop is left and callers still arrive, or if an earlier
+// attempt may have run, as a refusal would then leave the outcome unknown, too.
+func (exc *exchange) mayExceedStop(now time.Time, times *stopTimes) bool {
+	return !exc.isLarge() && (now.Before(times.half) || exc.runs > 0)
+}
+
 // answerTimes holds the longest time of an answer for each route. The zero value is empty.
 type answerTimes struct {
 	mutex  sync.Mutex
