fpforward: requests that wait for an owner don't wait on a VM that can't answer them any more

What callers saw: during the planned stop of an entry VM, a request whose key was being moved waited there for up to 0.6 of its route's objective, and was then refused, though its VM could not have sent it even if the owner had come. A request that arrived late waited until the end of the stop. Both were told to come back after 0.1 s or more, though another VM could have taken them at once.

Cause: only a request for which an upstream was found was compared with the time left.

Evidence, on: TestWaitForOwnerInStop, sent at 1 s with a deadline of 5 s: "got {status:503 runs:0 after:0.140 took:}, want status 503 after 2s"; sent at 4 s: "after:0.159 took:}, want status 503 after 0s".

Change: chooseOwner compares the request with the time left before it waits, and again at half of the stop.

Measured: the test passes, also for owners that come in time.

--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -71,7 +71,7 @@
 	waitForRate bool
 }
 
-// choose returns the upstream for the next attempt. The error kinds are NoOwner, NoUpstream, Overloaded and
+// choose returns the upstream for the next attempt. The error kinds are NoOwner, NoUpstream, Overloaded, Draining and
 // DeadlineUnreachable, and all mean that the request was not sent.
 func (exc *exchange) choose(ctx context.Context) (choice, error) {
 	if exc.keyed {
@@ -84,11 +84,14 @@
 func (exc *exchange) chooseOwner(ctx context.Context) (choice, error) {
 	began := time.Now()
 	for {
-		changed := exc.fwd.viewChanged()
+		changed, half := exc.fwd.viewChanged(), exc.fwd.stop.untilHalf()
 		cho, err := exc.findOwner()
 		if err == nil || !fperror.Is(err, fperror.NoOwner) {
 			return cho, err
 		}
+		if err := exc.checkStop(time.Now(), cho.state); err != nil {
+			return choice{}, err
+		}
 		wait := ownerWait
 		if cho.keyRange.GetPhase() != fpstate.Phase_PHASE_UNSPECIFIED {
 			wait = max(wait, time.Duration(moveWaitFraction*float64(exc.route.GetObjective().AsDuration())))
@@ -101,6 +104,8 @@
 		select {
 		case <-changed:
 			limit.Stop()
+		case <-half:
+			limit.Stop()
 		case <-limit.C:
 			return choice{}, err
 		case <-ctx.Done():
--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -22,6 +22,8 @@
 type stop struct {
 	// times are nil before the stop.
 	times atomic.Pointer[stopTimes]
+	// halfPassed is closed at half of the stop.
+	halfPassed chan struct{}
 	// ended ends at that time.
 	ended  context.Context
 	cancel context.CancelFunc
@@ -33,11 +35,24 @@
 	half, end time.Time
 }
 
-func (sto *stop) init() { sto.ended, sto.cancel = context.WithCancel(context.Background()) }
+func (sto *stop) init() {
+	sto.halfPassed = make(chan struct{})
+	sto.ended, sto.cancel = context.WithCancel(context.Background())
+}
 
 // begun reports whether the VM is stopping.
 func (sto *stop) begun() bool { return sto.times.Load() != nil }
 
+// untilHalf returns a channel that is closed at half of the stop, or nil if that has passed.
+func (sto *stop) untilHalf() <-chan struct{} {
+	select {
+	case <-sto.halfPassed:
+		return nil
+	default:
+		return sto.halfPassed
+	}
+}
+
 // Stop begins the planned stop of the VM. Answers ask callers to close their connections, and requests that may not be answered before
 // the given time are refused as not run. Requests that are still in flight at that time are answered with an error.
 func (fwd *Forwarder) Stop(end time.Time) {
@@ -46,6 +61,7 @@
 		end:  end,
 	}
 	if fwd.stop.times.CompareAndSwap(nil, times) {
+		time.AfterFunc(time.Until(times.half), func() { close(fwd.stop.halfPassed) })
 		time.AfterFunc(time.Until(end), fwd.stop.cancel)
 	}
 }
--- a/internal/route/fpforward/stop_test.go
+++ b/internal/route/fpforward/stop_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/config/fpgateway"
@@ -33,6 +34,8 @@
 // stopPlay is a forwarder with two upstreams and no network, in the time of a synctest bubble.
 type stopPlay struct {
 	forward *Forwarder
+	state   *fpstate.State
+	index   uint64
 
 	mutex sync.Mutex
 	work  time.Duration  // of later requests at an upstream
@@ -64,16 +67,26 @@
 	sta := &fpstate.State{
 		Configuration: &fpstate.Configuration{
 			Revision: 1,
-			Services: []*fpstate.Service{{
-				Name: "work",
-			}},
+			Services: []*fpstate.Service{
+				{
+					Name: "work",
+				},
+				{
+					Name:  "keys",
+					Keyed: true,
+				},
+			},
 		},
 	}
-	for _, id := range []string{"one", "two"} {
+	for _, id := range []string{"one", "two", "keys"} {
+		service := "work"
+		if id == "keys" {
+			service = id
+		}
 		sta.Upstreams = append(sta.Upstreams, &fpstate.Upstream{
 			Id:          id,
 			Born:        1,
-			Service:     "work",
+			Service:     service,
 			Address:     id + ":80",
 			Concurrency: 32,
 			Modified:    1,
@@ -83,7 +96,12 @@
 		"safe":   fpstate.Kind_KIND_IDEMPOTENT,
 		"once":   fpstate.Kind_KIND_ONCE,
 		"upload": fpstate.Kind_KIND_UPLOAD,
+		"keys":   fpstate.Kind_KIND_ONCE,
 	} {
+		service := "work"
+		if name == "keys" {
+			service = name
+		}
 		sta.Configuration.Routes = append(sta.Configuration.Routes, &fpstate.Route{
 			Name:       name,
 			Host:       "host",
@@ -92,19 +110,38 @@
 			Timeout:    durationpb.New(stopPlayTimeout),
 			Objective:  durationpb.New(stopPlayTimeout),
 			Targets: []*fpstate.Target{{
-				Service: "work",
+				Service: service,
 				Weight:  1,
 			}},
 			MaxAttempts: 2,
 		})
 	}
-	pla.forward.Update(sta, 1, 1)
+	pla.state = sta
+	pla.setPhase(fpstate.Phase_PHASE_SERVING)
 	if ans := pla.send(t, newStopRequest(path, "before", 0, "")); ans.status != http.StatusOK {
 		t.Fatalf("a request before the stop: %+v", ans)
 	}
 	return pla
 }
 
+// setPhase sets the phase of the range of all keys.
+func (pla *stopPlay) setPhase(pha fpstate.Phase) {
+	pla.index++
+	pla.state.KeySpaces = []*fpstate.KeySpace{{
+		Service:  "keys",
+		Modified: pla.index,
+		Ranges: []*fpstate.Range{{
+			Last:     1 << 20,
+			Upstream: "keys",
+			Born:     1,
+			Fence:    1,
+			Phase:    pha,
+			Modified: pla.index,
+		}},
+	}}
+	pla.forward.Update(proto.Clone(pla.state).(*fpstate.State), pla.index, 1)
+}
+
 // serve serves the requests of one connection. A run begins with the header of its request.
 func (pla *stopPlay) serve(con net.Conn) {
 	defer func() { _ = con.Close() }()
@@ -156,6 +193,8 @@
 	platform.EncodeRequest(req.Header, platform.Request{
 		Attempt: attempt,
 		Timeout: timeout,
+		Keyed:   true,
+		Key:     1,
 	})
 	return req
 }
@@ -242,3 +281,58 @@
 		time.Sleep(5 * stopPlayLength) // the upstream ends
 	})
 }
+
+// TestWaitForOwnerInStop guards against a request that waits for the owner of its key until late in a planned stop, when it can't be
+// answered any more, instead of being sent to another VM.
+func TestWaitForOwnerInStop(t *testing.T) {
+	for name, tes := range map[string]struct {
+		sentAt, timeout, ownerAt, want time.Duration
+		status                         int
+	}{
+		"deadline after the end": {
+			sentAt:  stopPlayLength / 6,
+			timeout: stopPlayTimeout,
+			want:    stopPlayLength / 3,
+			status:  http.StatusServiceUnavailable,
+		},
+		"deadline after the end, owner": {
+			sentAt:  stopPlayLength / 6,
+			timeout: stopPlayTimeout,
+			ownerAt: stopPlayLength / 4,
+			want:    stopPlayLength/12 + 20*time.Millisecond,
+			status:  http.StatusOK,
+		},
+		"deadline before the end, owner": {
+			sentAt:  stopPlayLength / 3,
+			timeout: stopPlayLength / 3,
+			ownerAt: stopPlayLength * 7 / 12,
+			want:    stopPlayLength/4 + 20*time.Millisecond,
+			status:  http.StatusOK,
+		},
+		"second half": {
+			sentAt:  stopPlayLength * 2 / 3,
+			timeout: stopPlayTimeout,
+			status:  http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pla := newStopPlay(t, "/keys/")
+				pla.setPhase(fpstate.Phase_PHASE_RELEASING)
+				pla.stop(20 * time.Millisecond)
+				if tes.ownerAt > 0 {
+					time.AfterFunc(tes.ownerAt, func() { pla.setPhase(fpstate.Phase_PHASE_SERVING) })
+				}
+				time.Sleep(tes.sentAt)
+				ans := pla.send(t, newStopRequest("/keys/", "late", tes.timeout, ""))
+				if ans.status != tes.status || ans.took < tes.want || ans.took > tes.want+10*time.Millisecond {
+					t.Errorf("got %+v, want status %d after %v", ans, tes.status, tes.want)
+				}
+				if ans.status == http.StatusServiceUnavailable && (ans.runs > 0 || ans.after != "0.000") {
+					t.Errorf("got %+v, want a refusal of a request that has not run, with Retry-After 0", ans)
+				}
+				time.Sleep(5 * stopPlayLength) // the upstream ends
+			})
+		})
+	}
+}
