fpforward: the end of a stop refuses a request whose body is incomplete as draining

What callers saw: a request whose body was still arriving at the end of a planned stop was refused as deadlineUnreachable, with a Retry-After of 0.125 to 0.169 s, though its deadline had not passed and another VM could have taken it at once.

Cause: the end of the stop ends the read with a read deadline, which bodyError takes for the deadline of the request.

Evidence, on the code before: TestEndOfStopRefusesUnreadBody failed for bodies of 1 KiB on the idempotent, once and upload route, "got {status:503 close:true after:0.125 body:deadlineUnreachable", "want status 503 with Retry-After 0". Bodies of 200 KiB passed: they are refused before they are read.

Change: bufferBody returns an error of kind Draining then. The request has not run in either case.

Measured: the test passes.

--- a/internal/node/fpgate/stop_test.go
+++ b/internal/node/fpgate/stop_test.go
@@ -336,3 +336,32 @@
 		})
 	}
 }
+
+// TestEndOfStopRefusesUnreadBody guards against a request whose body is still arriving at the end of a planned stop and whose caller is not
+// told that it has not run, or is made to wait before it tries another VM.
+func TestEndOfStopRefusesUnreadBody(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/upload/"} {
+		for _, body := range []int{1 << 10, 200 << 10} {
+			t.Run(fmt.Sprint(path, body), func(t *testing.T) {
+				t.Parallel()
+				stp := newStoppingVM(t, time.Millisecond)
+				from := time.Now().Add(500 * time.Millisecond)
+				time.AfterFunc(time.Until(from), stp.stop)
+				ans := stp.send(lateRequest{
+					attempt:    "late",
+					path:       path,
+					body:       body,
+					firstPart:  400 * time.Millisecond,
+					secondPart: stopTime - 800*time.Millisecond,
+				}, from)
+				if ans.status != http.StatusServiceUnavailable || ans.after != "0.000" {
+					t.Errorf("got %+v, want status 503 with Retry-After 0", ans)
+				}
+				if num := len(stp.upstream.Runs()); num > 0 {
+					t.Errorf("the request ran %d times, want none", num)
+				}
+				stp.awaitEnd()
+			})
+		}
+	}
+}
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -174,7 +174,11 @@
 	}
 	if err != nil {
 		exc.body = nil
-		return bodyError(err)
+		err = bodyError(err)
+		if fperror.Is(err, fperror.DeadlineUnreachable) && exc.fwd.stop.ended.Err() != nil {
+			return fperror.Wrap(fperror.Draining, err, "this VM stops")
+		}
+		return err
 	}
 	exc.fwd.link.add(time.Now(), len(exc.body))
 	if exc.isUpload() {
