fpforward, fpgate: a stop answers pipelined requests that were read before it

What callers saw: a caller that had pipelined several requests before the planned stop of an entry VM got answers only to those that had been begun. The others, which waited for their turn because they, or one before them, may run only once, ended with the connection, though the VM had read them before its stop.

Cause: Connection: close came with the answer to the last request that had been begun early. Whether another one had been read was not asked.

Evidence, on: TestStopAnswersRequestsThatWaitForTheirTurn failed with "answer 0 closes the connection: true, want false" and "answer 1: unexpected EOF".

Change: the connection stays open for requests whose header was read before the stop; they are served or refused as any other. Requests that are read later do not keep it open. After a request with a body the boundaries of later ones are not known, so these still end with the connection.

--- a/internal/node/fpgate/caller.go
+++ b/internal/node/fpgate/caller.go
@@ -119,7 +119,7 @@
 	hasBody := req.Body != nil && req.Body != http.NoBody
 	tur := fpforward.Turn{
 		Arrived:         con.requests.advance(time.Now(), hasBody),
-		MoreBegun:       con.hasPipelined,
+		MoreBefore:      con.hasPipelined,
 		SetResetOnClose: con.setResetOnClose,
 	}
 	if len(con.pipelined) > 0 {
@@ -131,11 +131,11 @@
 	return tur
 }
 
-// hasPipelined reports whether a request whose turn has not come has been begun.
-func (con *callerConn) hasPipelined() bool {
+// hasPipelined reports whether a request whose turn has not come has been begun, or was read before a time.
+func (con *callerConn) hasPipelined(before time.Time) bool {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
-	return len(con.pipelined) > 0
+	return len(con.pipelined) > 0 || con.requests.hasHeader(before)
 }
 
 // Read implements net.Conn. While a request is in progress the server reads a single byte, to learn whether another request
--- a/internal/node/fpgate/early_test.go
+++ b/internal/node/fpgate/early_test.go
@@ -209,6 +209,36 @@
 	}
 }
 
+// TestStopAnswersRequestsThatWaitForTheirTurn guards against a planned stop that ends a connection without an answer to requests that were
+// read before it and waited for the answers to earlier ones, and against one that keeps the connection for later requests.
+func TestStopAnswersRequestsThatWaitForTheirTurn(t *testing.T) {
+	const work = 300 * time.Millisecond
+	ent := newEntryFixture(t, work)
+	ent.send("/once/0", "/once/1", "/safe/2")
+	time.Sleep(work / 3)
+	ent.forwarder.Stop(time.Now().Add(10 * time.Second))
+	time.Sleep(work / 6)
+	ent.send("/safe/3")
+	for num := range 3 {
+		res, err := http.ReadResponse(ent.reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", num, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("answer %d: status %d, error %v", num, res.StatusCode, err)
+		}
+		if last := num == 2; res.Close != last {
+			t.Errorf("answer %d closes the connection: %t, want %t", num, res.Close, last)
+		}
+	}
+	if _, err := ent.reader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection is still open, or failed: got error %v, want EOF", err)
+	}
+	if got := len(ent.upstream.Runs()); got != 3 {
+		t.Errorf("%d requests ran, want the 3 that were read before the stop", got)
+	}
+}
+
 // TestDisconnectCancelsPipelinedRequests guards against work on pipelined requests after their caller has disconnected.
 func TestDisconnectCancelsPipelinedRequests(t *testing.T) {
 	const work = 2 * time.Second
--- a/internal/node/fpgate/requests.go
+++ b/internal/node/fpgate/requests.go
@@ -140,6 +140,20 @@
 	return req, time.Now()
 }
 
+// hasHeader reports whether the header of a request whose turn has not come was read before a time.
+func (rqb *requestBuffer) hasHeader(before time.Time) bool {
+	if rqb.hadBody {
+		return false
+	}
+	scan := headerScanner{}
+	end := scan.findEnd(rqb.buf)
+	if end <= 0 {
+		return false
+	}
+	pos := slices.IndexFunc(rqb.readMarks, func(mark readMark) bool { return mark.end >= end })
+	return pos >= 0 && rqb.readMarks[pos].at.Before(before)
+}
+
 // isPlainGet reports whether a request is a GET that the server certainly accepts and for which it reads no body.
 func isPlainGet(req *http.Request) bool {
 	if req.Method != http.MethodGet || !req.ProtoAtLeast(1, 1) || req.ContentLength != 0 || len(req.TransferEncoding) > 0 {
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -34,8 +34,8 @@
 	start   time.Time
 	// turnWait is how long the request waited for the answers to earlier pipelined requests on its connection.
 	turnWait time.Duration
-	// moreBegun reports whether a later pipelined request has been begun. Nil means that none has.
-	moreBegun func() bool
+	// moreBefore reports whether a later pipelined request has been begun, or read before the given time. Nil means that none has.
+	moreBefore func(at time.Time) bool
 	// setResetOnClose sets whether the caller's connection is reset when it ends. Nil means that it can't be.
 	setResetOnClose func(reset bool) error
 	deadline        time.Time
@@ -148,7 +148,7 @@
 
 // setTurn sets what is known when the turn of the request has come, for which it waited.
 func (exc *exchange) setTurn(tur Turn, waited time.Duration) {
-	exc.turnWait, exc.moreBegun, exc.setResetOnClose = waited, tur.MoreBegun, tur.SetResetOnClose
+	exc.turnWait, exc.moreBefore, exc.setResetOnClose = waited, tur.MoreBefore, tur.SetResetOnClose
 }
 
 // recoverPanic recovers from a panic of one request and passes it to handle as an error of kind Internal. It passes on
--- a/internal/route/fpforward/pipelined.go
+++ b/internal/route/fpforward/pipelined.go
@@ -17,8 +17,8 @@
 	Arrived time.Time
 	// Begun is the request if it was begun while earlier ones were in progress, or nil.
 	Begun *PipelinedRequest
-	// MoreBegun reports whether a later pipelined request has been begun. Nil means that none has.
-	MoreBegun func() bool
+	// MoreBefore reports whether a later pipelined request has been begun, or read before the given time. Nil means that none has.
+	MoreBefore func(at time.Time) bool
 	// SetResetOnClose sets whether the connection is reset when it ends, also by the end of the process. Nil means that it
 	// can't be.
 	SetResetOnClose func(reset bool) error
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -212,9 +212,10 @@
 }
 
 // closeWhenStopping asks the caller to close its connection if this VM is stopping, unless a later pipelined request has been
-// begun on the connection.
+// begun on the connection, or was read before the stop.
 func (exc *exchange) closeWhenStopping() {
-	if exc.fwd.stop.begun() && (exc.moreBegun == nil || !exc.moreBegun()) {
+	times := exc.fwd.stop.times.Load()
+	if times != nil && (exc.moreBefore == nil || !exc.moreBefore(times.begun)) {
 		exc.writer.Header().Set("Connection", "close")
 	}
 }
--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -31,8 +31,9 @@
 
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
-	// half is when half of the time between the stop signal and the kill has passed, and end when the requests in flight are ended.
-	half, end time.Time
+	// begun is when the stop has begun, half when half of the time between the stop signal and the kill has passed, and end when the
+	// requests in flight are ended.
+	begun, half, end time.Time
 }
 
 func (sto *stop) init() {
@@ -56,9 +57,11 @@
 // Stop begins the planned stop of the VM. Answers ask callers to close their connections, and requests that may not be answered before
 // the given time are refused as not run. Requests that are still in flight at that time are answered with an error.
 func (fwd *Forwarder) Stop(end time.Time) {
+	now := time.Now()
 	times := &stopTimes{
-		half: time.Now().Add(fwd.cfg.Promises.Stop / 2),
-		end:  end,
+		begun: now,
+		half:  now.Add(fwd.cfg.Promises.Stop / 2),
+		end:   end,
 	}
 	if fwd.stop.times.CompareAndSwap(nil, times) {
 		time.AfterFunc(time.Until(times.half), func() { close(fwd.stop.halfPassed) })
