fpforward: the end of a stop ends requests whose long body has stalled

What callers saw: a request whose long body had been passed on in part before the planned stop of an entry VM, and whose rest did not arrive, got no answer: its connection was cut 5.3 s after the signal.

Cause: the end of the stop interrupted only the read of the buffered part of a body. The rest is read by the transport, which ends an attempt only when its read of the body has returned, so that the end of the request's context had no effect until the request's deadline.

Change: the read deadline at the end of the stop also holds for the rest of a body. The server takes the ended read for the end of the connection, so finalError and send do not take it for one by the caller then, and the answer is 504: the upstream may have begun.

--- a/internal/node/fpgate/stop_test.go
+++ b/internal/node/fpgate/stop_test.go
@@ -365,3 +365,31 @@
 		}
 	}
 }
+
+// TestEndOfStopEndsStalledBody guards against a connection that is cut without an answer at the end of a planned stop because the rest of a
+// long body, of which a part has been passed on, does not arrive.
+func TestEndOfStopEndsStalledBody(t *testing.T) {
+	for path, body := range map[string]int{
+		"/safe/":   600 << 10,
+		"/once/":   600 << 10,
+		"/upload/": 4 << 20,
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			stp := newStoppingVM(t, time.Millisecond)
+			from := time.Now().Add(500 * time.Millisecond)
+			time.AfterFunc(time.Until(from), stp.stop)
+			ans := stp.send(lateRequest{
+				attempt:    "silent",
+				path:       path,
+				body:       body,
+				firstPart:  -100 * time.Millisecond,
+				secondPart: stopTime - 600*time.Millisecond,
+			}, from)
+			if ans.status != http.StatusGatewayTimeout {
+				t.Errorf("got %+v, want status 504, which promises nothing", ans)
+			}
+			stp.awaitEnd()
+		})
+	}
+}
--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -101,11 +101,20 @@
 	if err := exc.reserveBodyMemory(ctx, size); err != nil {
 		return nil, err
 	}
-	release := func() { exc.fwd.bodyMemory.Release(size) }
-	if err := exc.bufferBody(ctx, size, limit); err != nil {
+	// A read of the body must not outlast the stop. Once it has been read, the deadline would end the connection instead.
+	interrupt := context.AfterFunc(exc.fwd.stop.ended, exc.interruptBody)
+	err := exc.bufferBody(ctx, size, limit)
+	release := func() {
+		interrupt()
+		exc.fwd.bodyMemory.Release(size)
+	}
+	if err != nil {
 		release()
 		return nil, err
 	}
+	if exc.rest == nil {
+		interrupt()
+	}
 	return release, nil
 }
 
@@ -152,10 +161,7 @@
 // than limit bytes fails; a limit of 0 means that there is none.
 func (exc *exchange) bufferBody(ctx context.Context, size, limit int64) error {
 	// A writer that does not support deadlines leaves the limit to the server.
-	con := http.NewResponseController(exc.writer)
-	_ = con.SetReadDeadline(exc.deadline)
-	release := context.AfterFunc(exc.fwd.stop.ended, func() { _ = con.SetReadDeadline(time.Now()) })
-	defer release()
+	_ = http.NewResponseController(exc.writer).SetReadDeadline(exc.deadline)
 	var from io.Reader = exc.request.Body
 	if limit > 0 {
 		from = http.MaxBytesReader(exc.writer, exc.request.Body, limit)
@@ -192,6 +198,17 @@
 	return nil
 }
 
+// interruptBody ends a read of the body that is in progress, and later ones.
+func (exc *exchange) interruptBody() {
+	_ = http.NewResponseController(exc.writer).SetReadDeadline(time.Now()) // not all writers support deadlines
+}
+
+// bodyInterrupted reports whether interruptBody may have ended the connection of a request of which a part has been passed on. The server
+// takes that for the end of the caller's connection.
+func (exc *exchange) bodyInterrupted() bool {
+	return exc.rest != nil && exc.fwd.stop.ended.Err() != nil
+}
+
 // bodyError returns the error for a request whose body could not be read.
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -290,7 +290,7 @@
 // finalError returns the error for the caller after the last attempt.
 func (exc *exchange) finalError(ctx context.Context, failure error) error {
 	switch {
-	case exc.request.Context().Err() != nil:
+	case exc.request.Context().Err() != nil && !exc.bodyInterrupted():
 		return fperror.Wrap(fperror.CallerCanceled, failure, "the caller canceled the request")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && fperror.KindOf(failure).Answer().Outcome() != fperror.NotRun:
 		return fperror.Wrap(fperror.DeadlineExceeded, failure, "the deadline has passed")
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -68,7 +68,7 @@
 		crashed := con.Crashed()
 		endless := con.Received()-before >= fpconn.MaxAnswerHeader
 		con.Close()
-		if failure := exc.rest.readError(); failure != nil {
+		if failure := exc.rest.readError(); failure != nil && !exc.bodyInterrupted() {
 			return nil, failure
 		}
 		if endless {
