fpforward: a stop takes no body that may not arrive before its end

What callers saw: a request with a body of more than 128 KiB that was sent in the first half of the planned stop of an entry VM was passed on while its body was arriving. If the rest came late, it was given up at the end of the stop with an unknown outcome, also if it may run only once.

Cause: checkStop compared the time left with that of earlier answers, which excludes the time in which a body arrives.

Evidence, on the code before: TestIncompleteBodyInStop failed for the idempotent and the once route, with and without a length, "got {status:504 runs:1 after: took:}, want a refusal at once with Retry-After 0". Uploads passed.

If its length is known, it is refused before it is read.

Measured: the test passes, with the other tests of stops in fpforward.

--- a/internal/route/fpforward/body.go
+++ b/internal/route/fpforward/body.go
@@ -274,6 +274,11 @@
 	return hasBody && (exc.body == nil || exc.rest != nil)
 }
 
+// hasLongBody reports whether the body is longer than what is buffered of it, as far as is known.
+func (exc *exchange) hasLongBody() bool {
+	return exc.rest != nil || exc.request.ContentLength > exc.bodyBufferSize()
+}
+
 // setBody sets the body of a request to an upstream: the buffered part, followed by the remainder if there is one.
 func (exc *exchange) setBody(ctx context.Context, out *http.Request) {
 	out.TransferEncoding = nil
--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -105,9 +105,9 @@
 
 // mayExceedStop reports whether the request may be sent although its deadline is after the end of the stop, if earlier answers took
 // little time. Later ones may take longer, so this holds only while most of the stop is left and callers still arrive, or if an earlier
-// attempt may have run, as a refusal would then leave the outcome unknown, too.
+// attempt may have run, as a refusal would then leave the outcome unknown, too. The time that a long body takes to arrive is not known.
 func (exc *exchange) mayExceedStop(now time.Time, times *stopTimes) bool {
-	return !exc.isLarge() && (now.Before(times.half) || exc.runs > 0)
+	return !exc.isLarge() && !exc.hasLongBody() && (now.Before(times.half) || exc.runs > 0)
 }
 
 // answerTimes holds the longest time of an answer for each route. The zero value is empty.
--- a/internal/route/fpforward/stop_test.go
+++ b/internal/route/fpforward/stop_test.go
@@ -336,3 +336,36 @@
 		})
 	}
 }
+
+// TestIncompleteBodyInStop guards against a request that is passed on early in a planned stop while its body is still arriving, because
+// answers took little time, and is given up at the end with an unknown outcome.
+func TestIncompleteBodyInStop(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/upload/"} {
+		for _, sized := range []bool{false, true} {
+			t.Run(fmt.Sprint(path, sized), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					pla := newStopPlay(t, path)
+					pla.stop(20 * time.Millisecond)
+					time.Sleep(stopPlayLength / 4)
+					body, sender := io.Pipe()
+					go func() {
+						_, _ = sender.Write(make([]byte, maxBufferedUpload+1)) // the rest does not come
+						time.Sleep(stopPlayLength)
+						_ = sender.Close()
+					}()
+					req := newStopRequest(path, "late", 0, "x")
+					req.Body, req.ContentLength = body, -1
+					if sized {
+						req.ContentLength = 2 * maxBufferedUpload
+					}
+					ans := pla.send(t, req)
+					_ = body.Close()
+					if ans.status != http.StatusServiceUnavailable || ans.after != "0.000" || ans.runs > 0 || ans.took > 10*time.Millisecond {
+						t.Errorf("got %+v, want a refusal at once with Retry-After 0", ans)
+					}
+					time.Sleep(5 * stopPlayLength) // the upstream ends
+				})
+			})
+		}
+	}
+}
