--- a/internal/node/fpgate/stop_test.go
+++ b/internal/node/fpgate/stop_test.go
@@ -230,11 +230,11 @@
 			},
 			statuses: allKinds(http.StatusServiceUnavailable),
 		},
-		"no deadline, quick answers": {
+		"no deadline, quick answers, first half": {
 			work: 20 * time.Millisecond,
 			req: lateRequest{
-				firstPart:  2500 * time.Millisecond,
-				secondPart: 3500 * time.Millisecond,
+				firstPart:  2 * time.Second,
+				secondPart: 2500 * time.Millisecond,
 			},
 			statuses: map[string]int{
 				"/safe/":   http.StatusOK,
@@ -242,6 +242,24 @@
 				"/upload/": http.StatusServiceUnavailable,
 			},
 		},
+		// Nothing says that the next answer takes no longer than those before.
+		"no deadline, quick answers, second half": {
+			work: 20 * time.Millisecond,
+			req: lateRequest{
+				firstPart:  2500 * time.Millisecond,
+				secondPart: 3500 * time.Millisecond,
+			},
+			statuses: allKinds(http.StatusServiceUnavailable),
+		},
+		"deadline in the second half, quick answers": {
+			work: 20 * time.Millisecond,
+			req: lateRequest{
+				timeout:    time.Second,
+				firstPart:  2500 * time.Millisecond,
+				secondPart: 3500 * time.Millisecond,
+			},
+			statuses: allKinds(http.StatusOK),
+		},
 		"half of a header": {
 			work: slow,
 			req: lateRequest{
@@ -318,3 +336,60 @@
 		})
 	}
 }
+
+// TestEndOfStopRefusesUnreadBody guards against a request whose body is still arriving at the end of a planned stop and whose caller is not
+// told that it has not run, or is made to wait before it tries another VM.
+func TestEndOfStopRefusesUnreadBody(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/upload/"} {
+		for _, body := range []int{1 << 10, 200 << 10} {
+			t.Run(fmt.Sprint(path, body), func(t *testing.T) {
+				t.Parallel()
+				stp := newStoppingVM(t, time.Millisecond)
+				from := time.Now().Add(500 * time.Millisecond)
+				time.AfterFunc(time.Until(from), stp.stop)
+				ans := stp.send(lateRequest{
+					attempt:    "late",
+					path:       path,
+					body:       body,
+					firstPart:  400 * time.Millisecond,
+					secondPart: stopTime - 800*time.Millisecond,
+				}, from)
+				if ans.status != http.StatusServiceUnavailable || ans.after != "0.000" {
+					t.Errorf("got %+v, want status 503 with Retry-After 0", ans)
+				}
+				if num := len(stp.upstream.Runs()); num > 0 {
+					t.Errorf("the request ran %d times, want none", num)
+				}
+				stp.awaitEnd()
+			})
+		}
+	}
+}
+
+// TestEndOfStopEndsStalledBody guards against a connection that is cut without an answer at the end of a planned stop because the rest of a
+// long body, of which a part has been passed on, does not arrive.
+func TestEndOfStopEndsStalledBody(t *testing.T) {
+	for path, body := range map[string]int{
+		"/safe/":   600 << 10,
+		"/once/":   600 << 10,
+		"/upload/": 4 << 20,
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			stp := newStoppingVM(t, time.Millisecond)
+			from := time.Now().Add(500 * time.Millisecond)
+			time.AfterFunc(time.Until(from), stp.stop)
+			ans := stp.send(lateRequest{
+				attempt:    "silent",
+				path:       path,
+				body:       body,
+				firstPart:  -100 * time.Millisecond,
+				secondPart: stopTime - 600*time.Millisecond,
+			}, from)
+			if ans.status != http.StatusGatewayTimeout {
+				t.Errorf("got %+v, want status 504, which promises nothing", ans)
+			}
+			stp.awaitEnd()
+		})
+	}
+}
