fpconn, fpforward: a stray answer on a kept connection ends no request

Callers got 502 for requests at which their upstream was at work. Cause: an upstream may send the answer to an earlier request on a connection once more where the next one is expected. send took it for the answer, found the id of another attempt, and closed the connection on which the upstream was about to answer; a request that may run once can't be sent again.

Evidence: TestStrayAnswersEndNoRequest on the code before: 'second got status 502' in all 12 cases in which a whole stray answer precedes the right one (length, chunks, no body, refusal, two of them, and one with the right answer in its body; direct and relayed).

Change: the socket of a connection to an upstream skips whole answers that start where one is expected, name an earlier request that was answered on the connection, and end by their own framing: two at most, 24 KiB each. All else reaches net/http as it came and ends the attempt as before: cut, too long, of HTTP/1.0, until the close, unnamed, or of an unknown request. After a skipped one, the answer must name its request, and the connection carries no other. TestDamagedStrayAnswers takes each range of bytes out of a stray answer: no body of parts of two answers came out.

--- a/internal/route/fpforward/answer.go
+++ b/internal/route/fpforward/answer.go
@@ -39,8 +39,9 @@
 		}
 		return fperror.Wrap(fperror.AnswerTruncated, err, "the answer of upstream %s was truncated after %d bytes", mem.upstream.GetId(), len(rep.body))
 	}
+	strays, _ := con.Skipped()
 	finish := func(complete bool) {
-		if complete && !res.Close {
+		if complete && !res.Close && strays == 0 {
 			con.pool.Put(con.ExclusiveConn, rep.answer.IdleTimeout)
 			return
 		}
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -161,6 +161,7 @@
 			ConnectTimeout: maxCheckTimeout,
 			MaxIdle:        maxIdleConnections,
 			ReadBuffer:     fwd.readBuffer(),
+			ID:             platform.DecodeAttempt,
 			Dial:           fwd.cfg.Dial,
 		}),
 		joinedAt:  time.Now(),
--- a/internal/route/fpforward/reply.go
+++ b/internal/route/fpforward/reply.go
@@ -66,7 +66,8 @@
 	res, err := con.RoundTrip(exc.newUpstreamRequest(ctx, mem, con.peer))
 	if err != nil {
 		crashed := con.Crashed()
-		endless := con.Received()-before >= fpconn.MaxAnswerHeader
+		_, skipped := con.Skipped()
+		endless := con.Received()-before-skipped >= fpconn.MaxAnswerHeader
 		con.Close()
 		if failure := exc.rest.readError(); failure != nil {
 			return nil, failure
@@ -93,7 +94,11 @@
 		answer: platform.DecodeAnswer(res.StatusCode, res.Header),
 		length: res.ContentLength,
 	}
-	if rep.answer.Attempt != exc.info.Attempt && (rep.answer.Attempt != "" || rep.answer.NotRun) {
+	strays, _ := con.Skipped()
+	if strays > 0 {
+		exc.fwd.counters.add("strayAnswers")
+	}
+	if rep.answer.Attempt != exc.info.Attempt && (rep.answer.Attempt != "" || rep.answer.NotRun || strays > 0) {
 		con.Close()
 		return nil, fperror.New(fperror.UpstreamLost, "upstream %s answered with the id of another attempt, %q", mem.upstream.GetId(), rep.answer.Attempt)
 	}
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -43,6 +43,9 @@
 	MaxIdle int
 	// ExpectContinue is how long the body of a request with the header Expect waits for the permission to be sent. 0: not at all.
 	ExpectContinue time.Duration
+	// ID returns the id by which the header of a request or of an answer names the request, or "". Nil: answers name no requests, and
+	// none is skipped as a stray one.
+	ID func(hea http.Header) string
 	// Dial opens connections. Nil: Dial of this package. Tests replace it to simulate lost paths.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -80,6 +83,9 @@
 	used                     bool
 	// refused are the requests that were refused on the connection as not run, with the time until which each may be sent again.
 	refused map[string]time.Time
+	// id is that of the pool's configuration, and earlier are the ids of the last requests on the connection.
+	id      func(hea http.Header) string
+	earlier []string
 }
 
 // Used reports whether the connection was in the pool before, so that the upstream has accepted it.
@@ -92,8 +98,9 @@
 func (con *ExclusiveConn) Received() int64 { return con.socket.received.Load() }
 
 // RoundTrip sends one request. An error does not tell whether the upstream ran the request. The request is never sent
-// again. An answer with an invalid status and a long series of informational answers are errors.
+// again. An answer with an invalid status and a long series of informational answers are errors. Stray answers are skipped.
 func (con *ExclusiveConn) RoundTrip(req *http.Request) (*http.Response, error) {
+	con.await(req)
 	res, err := con.client.RoundTrip(boundInformational(req))
 	if err != nil {
 		return nil, err
@@ -173,6 +180,7 @@
 	con := &ExclusiveConn{
 		client: cli,
 		socket: soc.Load(),
+		id:     exc.cfg.ID,
 	}
 	if tcp, ok := con.socket.Conn.(*net.TCPConn); ok && exc.cfg.ReadBuffer > 0 {
 		if err := tcp.SetReadBuffer(exc.cfg.ReadBuffer); err != nil {
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -40,6 +40,7 @@
 	endedByPeer   atomic.Bool
 	received      atomic.Int64
 	receivedAt    atomic.Int64 // latest receipt, as the time since processStart; before that, the opening
+	strays        strayFilter
 }
 
 // processStart is a time of this process from which receipts are counted, by the monotonic clock.
@@ -50,8 +51,11 @@
 	return time.Duration(soc.receivedAt.Load()) >= since.Sub(processStart)
 }
 
-// Read counts the received bytes and records whether the peer ended the connection.
-func (soc *socket) Read(buf []byte) (int, error) {
+// Read implements net.Conn. It skips stray answers.
+func (soc *socket) Read(buf []byte) (int, error) { return soc.strays.read(buf, soc.receive) }
+
+// receive reads from the connection, counts the received bytes, and records whether the peer ended the connection.
+func (soc *socket) receive(buf []byte) (int, error) {
 	num, err := soc.Conn.Read(buf)
 	soc.received.Add(int64(num))
 	if num > 0 {
