fpforward: an idempotent request survives the end of the peer that relays it

Callers of a VM without a path to the upstream got 504 (the peer's stop ended) or 502 (the peer was killed) for idempotent requests at which the only upstream was at work, long before their deadline, although another peer reached it. Cause: relay marks the upstream as tried also if it was the peer that ended, so that the next attempt finds no upstream. Requests for keys are not concerned: their owner is chosen again.

Evidence: TestPeerEndsBesideWork on the code before: '/safe/ end of its stop: status 504 after 1 runs', '/safe/ killed: status 502 after 1 runs'; the cases with /keyed/ and /once/ passed.

Change: if no other upstream is left, the one whose attempt ended with its peer (connection to the peer lost, or 'late') is chosen again. The bounds on attempts, runs and the retry budget hold as before; a peer that says that the upstream gave no whole answer ('lost') changes nothing. Requests that may run once aren't sent again.

--- a/internal/route/fpforward/choose.go
+++ b/internal/route/fpforward/choose.go
@@ -178,6 +178,11 @@
 	vie := exc.fwd.view.Load()
 	now := time.Now()
 	all := exc.preferReady(now, exc.candidates(vie, now))
+	if len(all) == 0 && exc.lostWithPeer != nil {
+		delete(exc.tried, exc.lostWithPeer)
+		exc.lostWithPeer = nil
+		all = exc.preferReady(now, exc.candidates(vie, now))
+	}
 	best := exc.cheapest(all)
 	for first := best; best.member != nil && !exc.fwd.rates.Ready(now, best.member.rateKey(), !exc.lowPriority); {
 		all = slices.DeleteFunc(all, func(cho choice) bool { return cho.member == best.member })
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -92,6 +92,8 @@
 	refusedPeers   map[*fprelay.Peer]bool
 	refusedDetours map[detour]bool
 	relayFailures  int
+	// lostWithPeer is the upstream of an attempt that ended with the peer that relayed it, or nil. It is tried again if there is no other.
+	lostWithPeer *member
 	// upstreamRefusal is the last answer of an upstream that did not run the request.
 	upstreamRefusal *reply
 	// ownerFull states that the owner of the key has refused the request because its queue is full.
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -313,6 +313,9 @@
 	}
 	sent = true
 	exc.tried[mem] = true
+	if rep == nil && (rel == nil || rel.reason == relayLate) {
+		exc.lostWithPeer = mem
+	}
 	if rep != nil {
 		exc.countAnswer(rep)
 		exc.fwd.counters.add("relayed")
