fpforward: a check answered in a planned stop keeps no connection

A peer that stops closes its idle connections 3 s after SIGTERM, and asks with each answer that its connections be left. Its answers to checks of a path (204) didn't, so that the other VM kept the connection. A request that may run once, sent on it when the peer closes it, gets 502 without having run. Found by reading; no caller is known to have met it.

Evidence: TestCheckInStopClosesConnection on the code before: 'stopping true: connection kept: true'.

Change: the answer asks for the end of the connection in a stop, and askPeer closes a connection that the peer wants to end. An older VM ignores it as before.

--- a/internal/route/fpforward/peerend_test.go
+++ b/internal/route/fpforward/peerend_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxtailpulley/foxtailpulley/internal/bench/fpcut"
+	"github.com/foxtailpulley/foxtailpulley/internal/route/fprelay"
 	"github.com/foxtailpulley/foxtailpulley/internal/wire/fpstate"
 )
 
@@ -97,3 +98,31 @@
 		t.Errorf("status %d, %d requests to the peer and %d runs, want 502, one, and none", status, asked.Load(), par.totalRuns())
 	}
 }
+
+// TestCheckInStopClosesConnection guards against a request that may run once and gets 502 without having run, because it is sent on a
+// connection on which a peer in its planned stop has answered a check, when the peer closes its idle connections.
+func TestCheckInStopClosesConnection(t *testing.T) {
+	par := newRelayPair(t)
+	wor := par.addWorker("work", nil)
+	mem := par.forward.view.Load().active[incarnation{
+		id:   wor.Upstream().GetId(),
+		born: 1,
+	}]
+	pee := par.forward.peers.Choose(time.Now(), func(*fprelay.Peer) bool { return false })
+	pol := par.forward.peerPools.pool(pee)
+	for _, stopping := range []bool{false, true} {
+		if stopping {
+			par.helper.forward.Stop(time.Now().Add(time.Minute))
+		}
+		if reason, err := par.forward.askPeer(t.Context(), pee, mem); reason != "" || err != nil {
+			t.Errorf("stopping %t: refused for %q, error %v", stopping, reason, err)
+		}
+		con := pol.Get(time.Now(), "", true)
+		if (con == nil) != stopping {
+			t.Errorf("stopping %t: connection kept: %t", stopping, con != nil)
+		}
+		if con != nil {
+			pol.PutUnused(con)
+		}
+	}
+}
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -406,7 +406,11 @@
 		return "", fperror.Wrap(fperror.UpstreamLost, err, "ask VM %s", pee.VM())
 	}
 	_ = res.Body.Close() // the answer has no body
-	pol.Put(con, 0)
+	if res.Close {
+		con.Close()
+	} else {
+		pol.Put(con, 0)
+	}
 	return relayReason(res.Header.Get(relayRefusalHeader)), nil
 }
 
--- a/internal/route/fpforward/relayed.go
+++ b/internal/route/fpforward/relayed.go
@@ -141,6 +141,7 @@
 		exc.refuseRelay(exc.noPathReason(err), 0, err)
 		return
 	}
+	exc.closeWhenStopping()
 	exc.writer.WriteHeader(http.StatusNoContent)
 }
 
