--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -68,8 +68,14 @@
 	relayLate relayReason = "late"
 )
 
-// sent reports whether the request may have reached the upstream.
-func (rea relayReason) sent() bool { return rea == relayLost || rea == relayLate }
+// sent reports whether the request may have reached the upstream. That holds for the unknown reasons of later versions, too.
+func (rea relayReason) sent() bool {
+	switch rea {
+	case relayNoPath, relayEnded, relayStranded, relayBusy, relayRefused, relayResting, relayUnknown:
+		return false
+	}
+	return true
+}
 
 // ofUpstream reports whether nothing was sent because of the upstream, so that the peer may relay the request to another one.
 func (rea relayReason) ofUpstream() bool {
@@ -102,7 +108,7 @@
 		kin = fperror.OutcomeUnknown
 	case relayNoPath, relayEnded, relayStranded, relayUnknown:
 	default:
-		kin = fperror.UpstreamLost // a later version may have sent the request
+		kin = fperror.UpstreamLost
 	}
 	return &relayError{
 		error:  fperror.New(kin, "VM %s did not relay the request: %s", pee.VM(), reason),
@@ -309,6 +315,9 @@
 		return nil, err
 	}
 	exc.tried[mem] = true
+	if rep == nil && (rel == nil || rel.reason == relayLate) {
+		exc.lostWithPeer = mem
+	}
 	if rep != nil {
 		exc.countAnswer(rep)
 		exc.fwd.counters.add("relayed")
@@ -393,7 +402,11 @@
 		return "", fperror.Wrap(fperror.UpstreamLost, err, "ask VM %s", pee.VM())
 	}
 	_ = res.Body.Close() // the answer has no body
-	pol.Put(con, 0)
+	if res.Close {
+		con.Close()
+	} else {
+		pol.Put(con, 0)
+	}
 	return relayReason(res.Header.Get(relayRefusalHeader)), nil
 }
 
