fpforward: a late attempt through a peer is overtaken, too, and no attempt in vain

- A request through a peer whose path hangs waited until its deadline, though the VM's own path was well again (200 after 0.7 s before, 504 after 2 s with it).
- When no way was found at the moment of the doubt, none was looked for again: 504 at the deadline, though another upstream could be reached from 0.9 s on.
- When the first attempt failed while the second was at work, a third began.
- Upstreams counted as slow after a silence of the VM: a mean of 301 ms became 754 ms.
- An attempt that was prepared when another one ended was sent all the same, and its upstream was excluded from later ones.

Cause: the doubt was bound to lost paths of this VM, and its consequences to the end of attempts. Change: an attempt through a peer is in doubt, too, once its answer is overdue and the peer gives none, or the own path is well. At most one attempt is not in doubt. The search is repeated when the state changes or a path is well again. The times and breaks of attempts in doubt don't count for their upstreams. Nothing is sent after the end of the preparation. The log tells why no other attempt begins.

--- a/internal/route/fpforward/attempt.go
+++ b/internal/route/fpforward/attempt.go
@@ -12,8 +12,10 @@
 )
 
 var (
-	// errAttemptOpen is returned for an attempt whose path counts as lost and which goes on.
-	errAttemptOpen = fperror.New(fperror.UpstreamLost, "the path to the upstream counts as lost, and its answer may still come")
+	// errInDoubt is returned for an attempt that counts as late and goes on.
+	errInDoubt = fperror.New(fperror.UpstreamLost, "the answer is late, and may still come")
+	// errChanged is returned when there may be a way for another attempt.
+	errChanged = errors.New("another upstream or path may be in use")
 	// errSuperseded ends an attempt because another one has been answered.
 	errSuperseded = errors.New("another attempt has been answered")
 )
@@ -28,8 +30,10 @@
 	received int64
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	// suspected is closed when the path counts as lost. Nil: the path isn't watched.
+	// suspected is closed when the answer counts as late, because the path counts as lost or the peer gives no answers.
 	suspected chan struct{}
+	// inDoubt states that another attempt may begin beside this one, since suspected was closed.
+	inDoubt bool
 	// reply and err are the outcome, valid when the attempt has ended.
 	reply *reply
 	err   error
@@ -40,35 +44,39 @@
 func (exc *exchange) sendWithRetries(ctx context.Context) (*reply, error) {
 	defer exc.supersede()
 	var failure error
+	var cha changes
 	for again := true; again || len(exc.open) > 0; {
-		if !again || len(exc.ended) > 0 {
-			rep, err := exc.await(nil)
-			if err == nil {
-				return rep, nil
+		var rep *reply
+		var err error
+		if again && len(exc.ended) == 0 {
+			cha = exc.changes()
+			prepare, cancel := exc.untilEnd(ctx)
+			cho, none := exc.chooseNext(prepare)
+			if none == nil {
+				rep, err = exc.attempt(ctx, prepare, cho)
 			}
-			failure = lastAfterRun(failure, err)
-			again = ctx.Err() == nil && exc.mayRetry(err)
-			continue
-		}
-		prepare, cancel := exc.untilEnd(ctx)
-		cho, err := exc.chooseNext(prepare)
-		if err != nil {
 			cancel()
-			if failure == nil || fperror.KindOf(failure).Answer().Outcome() == fperror.NotRun {
-				failure = err
+			if none != nil {
+				if failure == nil || fperror.KindOf(failure).Answer().Outcome() == fperror.NotRun {
+					failure = none
+				}
+				exc.logNoAttempt(none)
+				again = false
+				continue
 			}
-			again = false
-			continue
+		} else {
+			rep, err = exc.await(cha)
 		}
-		rep, err := exc.attempt(ctx, prepare, cho)
-		cancel()
-		if err == nil {
+		switch {
+		case err == nil:
 			return rep, nil
+		case errors.Is(err, errChanged):
+			err = errInDoubt
+		case !errors.Is(err, errInDoubt) && (failure == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun):
+			failure = err
 		}
-		if !errors.Is(err, errAttemptOpen) {
-			failure = lastAfterRun(failure, err)
-		}
-		again = ctx.Err() == nil && exc.mayRetry(err)
+		cha = changes{}
+		again = ctx.Err() == nil && exc.undoubted() == nil && exc.mayRetry(err)
 	}
 	if exc.fallback != nil && ctx.Err() == nil {
 		return exc.fallback, nil
@@ -76,12 +84,16 @@
 	return nil, failure
 }
 
-// lastAfterRun returns the error of the last attempt after which the request may have run, or the first error without one.
-func lastAfterRun(failure, err error) error {
-	if failure == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun {
-		return err
+// changes are closed when there may be a way for another attempt.
+type changes struct {
+	view, restored <-chan struct{}
+}
+
+func (exc *exchange) changes() changes {
+	return changes{
+		view:     exc.fwd.viewChanged(),
+		restored: exc.fwd.paths.awaitRestored(),
 	}
-	return failure
 }
 
 // untilEnd returns a context for the preparation of another attempt, which ends when one in progress ends.
@@ -118,7 +130,7 @@
 	if cho.member != nil {
 		exc.lastChoice = cho
 	}
-	if err == nil && cho.peer == nil && exc.openAt(cho.member) {
+	if err == nil && exc.isOpen(cho) {
 		err = fperror.New(fperror.NoUpstream, "an attempt at upstream %s is in progress on this path", cho.member.upstream.GetId())
 	}
 	if err == nil && exc.arrivals > 0 {
@@ -127,16 +139,26 @@
 	return cho, err
 }
 
-// openAt reports whether an attempt at an upstream is in progress on this VM's own path.
-func (exc *exchange) openAt(mem *member) bool {
+// isOpen reports whether an attempt at the upstream of a choice is in progress on the same path.
+func (exc *exchange) isOpen(cho choice) bool {
 	for att := range exc.open {
-		if att.choice.peer == nil && att.choice.member == mem {
+		if att.choice.member == cho.member && att.choice.peer == cho.peer {
 			return true
 		}
 	}
 	return false
 }
 
+// undoubted returns the attempt in progress that isn't in doubt, or nil. There is at most one.
+func (exc *exchange) undoubted() *attempt {
+	for att := range exc.open {
+		if !att.inDoubt {
+			return att
+		}
+	}
+	return nil
+}
+
 // mayRetry reports whether the request may be sent to another upstream after a failed attempt.
 func (exc *exchange) mayRetry(err error) bool {
 	var rel *relayError
@@ -158,7 +180,7 @@
 }
 
 // attempt sends the request to one upstream and waits for the end of an attempt, which may be an earlier one. A nil error means that the
-// answer is for the caller. With errAttemptOpen, the attempt goes on. prepare bounds the time until the request is sent.
+// answer is for the caller. With errInDoubt, the attempt goes on. prepare bounds the time until the request is sent.
 func (exc *exchange) attempt(ctx, prepare context.Context, cho choice) (*reply, error) {
 	if cho.peer != nil {
 		return exc.relay(ctx, prepare, cho)
@@ -177,7 +199,7 @@
 		exc.returnPlace(mem)
 		return nil, err
 	}
-	if err := cmp.Or(exc.checkExclusion(mem), exc.checkLeft(mem), exc.checkRest(mem), exc.checkCold(mem), exc.checkStop(time.Now(), cho.state)); err != nil {
+	if err := cmp.Or(exc.checkExclusion(mem), exc.checkLeft(mem), exc.checkRest(mem), exc.checkCold(mem), exc.checkStop(time.Now(), cho.state), checkPrepared(prepare)); err != nil {
 		exc.returnRate(mem)
 		exc.returnPlace(mem)
 		mem.connections.PutUnused(con)
@@ -194,6 +216,14 @@
 	})
 }
 
+// checkPrepared returns an error of kind ConnectFailed if the time until the request is sent has ended.
+func checkPrepared(prepare context.Context) error {
+	if err := prepare.Err(); err != nil {
+		return fperror.Wrap(fperror.ConnectFailed, err, "send the request")
+	}
+	return nil
+}
+
 // run sends the request on a connection and waits as attempt does.
 func (exc *exchange) run(ctx context.Context, cho choice, con link) (*reply, error) {
 	exc.arrivals++
@@ -207,13 +237,12 @@
 	}
 	att.timer = newProcessingTimer(att.sentAt)
 	att.ctx, att.cancel = context.WithCancelCause(ctx)
-	stopWatch := func() {}
-	if cho.peer == nil {
-		att.suspected = make(chan struct{})
-		stopWatch = exc.watchPath(att)
-	}
+	stopWatch := exc.watch(att)
 	send := func() {
-		defer exc.recoverPanic(func(failure error) { att.reply, att.err = nil, failure })
+		defer exc.recoverPanic(func(failure error) {
+			con.Close()
+			att.reply, att.err = nil, failure
+		})
 		defer stopWatch()
 		att.reply, att.err = exc.send(att.timer.trace(att.ctx, len(exc.body)), cho.member, con)
 	}
@@ -226,7 +255,7 @@
 		defer exc.end(att)
 		send()
 	}()
-	return exc.await(att)
+	return exc.await(changes{})
 }
 
 // mayOverlap reports whether another attempt may begin while one is in progress.
@@ -234,10 +263,11 @@
 	return exc.repeatable() && !exc.relayed && exc.rest == nil
 }
 
-// await waits for the end of any attempt in progress and returns its outcome, or errAttemptOpen once the path of the newest one counts as
-// lost. A nil newest stands for none that is watched.
-func (exc *exchange) await(newest *attempt) (*reply, error) {
+// await waits for the end of any attempt in progress and returns its outcome. It returns errInDoubt once the attempt that isn't in doubt
+// counts as late, and errChanged after one of the given changes.
+func (exc *exchange) await(cha changes) (*reply, error) {
 	var suspected chan struct{}
+	newest := exc.undoubted()
 	if newest != nil {
 		suspected = newest.suspected
 	}
@@ -246,9 +276,13 @@
 		delete(exc.open, att)
 		return exc.conclude(att)
 	case <-suspected:
-		exc.logSuspicion(newest)
-		return nil, errAttemptOpen
+		newest.inDoubt = true
+		exc.logDoubt(newest)
+		return nil, errInDoubt
+	case <-cha.view:
+	case <-cha.restored:
 	}
+	return nil, errChanged
 }
 
 // supersede ends the attempts in progress because the request needs them no longer, and waits for their ends.
@@ -275,6 +309,9 @@
 	}
 	if att.choice.peer != nil {
 		exc.fwd.peers.End(att.choice.peer)
+		if rel := (*relayError)(nil); errors.As(att.err, &rel) && !rel.reason.sent() {
+			exc.returnRate(mem)
+		}
 		return
 	}
 	exc.endPlace(att.choice, att.err)
@@ -314,21 +351,24 @@
 		}
 		exc.recordInterruption(mem, time.Now(), !noRoom)
 	}
-	return exc.finishAttempt(cho, rep, err, took)
+	return exc.finishAttempt(att, took)
 }
 
 // finishAttempt updates the state of the upstream after an attempt that has taken some time, and decides whether its answer is
-// for the caller.
-func (exc *exchange) finishAttempt(cho choice, rep *reply, err error, took time.Duration) (*reply, error) {
-	mem := cho.member
-	if err == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun {
+// for the caller. The time of an attempt that was in doubt says nothing about the upstream.
+func (exc *exchange) finishAttempt(att *attempt, took time.Duration) (*reply, error) {
+	rep, err, mem := att.reply, att.err, att.choice.member
+	if att.inDoubt {
+		took = 0
+	}
+	if took > 0 && (err == nil || fperror.KindOf(err).Answer().Outcome() != fperror.NotRun) {
 		exc.fwd.answerTimes.observe(time.Now(), exc.route.GetName(), took)
 	}
 	if err != nil {
-		exc.recordFailure(cho, rep, err, took)
+		exc.recordFailure(att, took)
 		return nil, err
 	}
-	exc.clearSuspect(time.Now().Add(-took))
+	exc.clearSuspect(att.sentAt)
 	exc.observeRest(mem, rep)
 	mem.recordAnswer(time.Now(), rep.answer, took, rep.status >= http.StatusInternalServerError)
 	if exc.keyed {
--- a/internal/route/fpforward/connect.go
+++ b/internal/route/fpforward/connect.go
@@ -33,7 +33,9 @@
 	if err == nil {
 		return con, nil
 	}
-	exc.connectFailures++
+	if ctx.Err() == nil {
+		exc.connectFailures++
+	}
 	if fperror.Is(err, fperror.Overloaded) {
 		exc.tried[mem] = true
 		return nil, err
--- a/internal/route/fpforward/ended.go
+++ b/internal/route/fpforward/ended.go
@@ -51,10 +51,19 @@
 	}
 }
 
-// logSuspicion counts and logs an attempt that goes on although its path counts as lost.
-func (exc *exchange) logSuspicion(att *attempt) {
+// logDoubt counts and logs an attempt that goes on although its answer is late.
+func (exc *exchange) logDoubt(att *attempt) {
 	exc.fwd.counters.add("attemptsInDoubt")
-	exc.fwd.cfg.Log.Info("the path of an attempt counts as lost, the attempt goes on", exc.attemptFields(att)...)
+	exc.fwd.cfg.Log.Info("the answer to an attempt is late, the attempt goes on", exc.attemptFields(att)...)
+}
+
+// logNoAttempt logs why no other attempt begins beside those in progress, if there are any.
+func (exc *exchange) logNoAttempt(err error) {
+	if len(exc.open) == 0 || exc.noAttemptLogged {
+		return
+	}
+	exc.noAttemptLogged = true
+	exc.fwd.cfg.Log.Info("no other attempt begins beside a late one", zap.String("id", exc.info.Attempt), zap.Error(err))
 }
 
 // attemptFields returns the fields of a log line on an attempt without an answer.
--- a/internal/route/fpforward/exchange.go
+++ b/internal/route/fpforward/exchange.go
@@ -70,6 +70,8 @@
 	// open are the attempts in progress, each of which is sent on ended when it has ended.
 	open  map[*attempt]bool
 	ended chan *attempt
+	// noAttemptLogged states that the log tells why no other attempt began beside one in progress.
+	noAttemptLogged bool
 
 	// tried are the upstreams that are not chosen again for this request.
 	tried         map[*member]bool
@@ -278,7 +280,9 @@
 	if ok {
 		return exc.takeCold(ctx, cho)
 	}
-	exc.tried[cho.member] = true
+	if ctx.Err() == nil {
+		exc.tried[cho.member] = true
+	}
 	exc.rateWait = wait
 	return fperror.New(fperror.Overloaded, "upstream %s gets no more requests than the rate that it names", cho.member.upstream.GetId())
 }
@@ -304,7 +308,8 @@
 }
 
 // recordFailure updates the upstream's state after an attempt that gave no answer for the caller.
-func (exc *exchange) recordFailure(cho choice, rep *reply, err error, took time.Duration) {
+func (exc *exchange) recordFailure(att *attempt, took time.Duration) {
+	cho, rep, err := att.choice, att.reply, att.err
 	mem := cho.member
 	now := time.Now()
 	if rep != nil && rep.answer.NotRun {
@@ -326,7 +331,7 @@
 			exc.refusedFences[cho.keyRange.GetFence()] = true
 		}
 	case fperror.UpstreamLost, fperror.AnswerTruncated:
-		if cho.peer != nil {
+		if cho.peer != nil || att.inDoubt {
 			break // the upstream need not be at fault
 		}
 		mem.recordFailure()
@@ -334,7 +339,7 @@
 			go exc.fwd.probe(mem)
 		}
 	case fperror.OutcomeUnknown:
-		if exc.request.Context().Err() == nil && exc.fwd.stop.ended.Err() == nil && cho.peer == nil && exc.fwd.pathOf(mem, now) == pathWell {
+		if exc.request.Context().Err() == nil && exc.fwd.stop.ended.Err() == nil && cho.peer == nil && !att.inDoubt && exc.fwd.pathOf(mem, now) == pathWell {
 			mem.recordOverdue(now, took)
 		}
 	}
--- a/internal/route/fpforward/member.go
+++ b/internal/route/fpforward/member.go
@@ -351,7 +351,7 @@
 	mem.inFlight--
 }
 
-// recordAnswer updates the estimates after an answer that took the given time. failed states that its status was 500 or
+// recordAnswer updates the estimates after an answer that took the given time, or 0 if that is not known. failed states that its status was 500 or
 // more, or that the request was shed.
 func (mem *member) recordAnswer(now time.Time, ans platform.Answer, took time.Duration, failed bool) {
 	mem.mutex.Lock()
@@ -373,6 +373,9 @@
 		return
 	}
 	mem.restTrial = false
+	if took <= 0 {
+		return
+	}
 	// Exclude the time in the upstream's queue, as estimated from the reported load.
 	if ans.HasLoad && ans.Load.Waiting > 0 && ans.Load.Slots > 0 {
 		took = time.Duration(float64(took) / (1 + float64(ans.Load.Waiting)/float64(ans.Load.Slots)))
--- a/internal/route/fpforward/path.go
+++ b/internal/route/fpforward/path.go
@@ -356,26 +356,27 @@
 	return chk.err
 }
 
-// watchPath watches the path of an attempt until the returned function is called. If the connection hangs, it marks the path as lost. If
-// no upstream is heard, it also closes att.suspected. It never ends the attempt: a VM whose link is full or that gets no processor time
-// hears nothing either, while the upstream is at work.
-func (exc *exchange) watchPath(att *attempt) (stop func()) {
-	mem, expected := att.choice.member, att.choice.state.expectedTime()
-	hangs := func() bool { return att.con.Received() == att.received }
+// watch watches an attempt until the returned function is called, and closes att.suspected when its answer counts as late. It never ends
+// the attempt: a VM whose link is full or that gets no processor time hears nothing either, while the upstream is at work.
+func (exc *exchange) watch(att *attempt) (stop func()) {
+	att.suspected = make(chan struct{})
+	isLate := exc.pathHangs
+	if att.choice.peer != nil {
+		if !exc.mayOverlap() {
+			return func() {}
+		}
+		isLate = exc.peerHangs
+	}
 	var mutex sync.Mutex
 	stopped := false
 	var timer *time.Timer
 	look := func() {
-		lost := false
-		if hangs() && exc.fwd.pathSilent(mem, att.sentAt, expected) {
-			err := exc.fwd.checkPath(mem)
-			lost = err != nil && !processEnded(err) && hangs() && exc.fwd.paths.silent(time.Now(), 2)
-		}
+		late := att.con.Received() == att.received && isLate(att) && att.con.Received() == att.received
 		mutex.Lock()
 		defer mutex.Unlock()
 		switch {
 		case stopped:
-		case lost && exc.mayOverlap():
+		case late && exc.mayOverlap():
 			close(att.suspected)
 		default:
 			timer.Reset(watchInterval)
@@ -392,6 +393,26 @@
 	}
 }
 
+// pathHangs checks the path of an attempt if the upstream is silent. It reports whether the path counts as lost and no upstream is heard.
+func (exc *exchange) pathHangs(att *attempt) bool {
+	mem := att.choice.member
+	if !exc.fwd.pathSilent(mem, att.sentAt, att.choice.state.expectedTime()) {
+		return false
+	}
+	err := exc.fwd.checkPath(mem)
+	return err != nil && !processEnded(err) && exc.fwd.paths.silent(time.Now(), 2)
+}
+
+// peerHangs reports whether the answer to an attempt through a peer is overdue while this VM's own path to the upstream is well again, or
+// the peer gives no answers at all.
+func (exc *exchange) peerHangs(att *attempt) bool {
+	now := time.Now()
+	if now.Sub(att.sentAt) < max(partialCheck, overdueCheck*att.choice.state.expectedTime()) {
+		return false
+	}
+	return exc.fwd.peers.Silent(att.choice.peer, now) || exc.fwd.pathOf(att.choice.member, now) == pathWell
+}
+
 // pathSilent reports whether an upstream has been silent for so long that its path has to be checked: since a request was sent
 // whose answer was expected after a time, or since the path was proven last. After each check that succeeds without an answer, the
 // time doubles: the upstream is only slow.
--- a/internal/route/fpforward/relay.go
+++ b/internal/route/fpforward/relay.go
@@ -285,7 +285,7 @@
 			return nil, err
 		}
 	}
-	if err := cmp.Or(exc.checkExclusion(mem), exc.checkStop(time.Now(), cho.state)); err != nil {
+	if err := cmp.Or(exc.checkExclusion(mem), exc.checkStop(time.Now(), cho.state), checkPrepared(prepare)); err != nil {
 		exc.returnRate(mem)
 		pol.PutUnused(con)
 		return nil, err
@@ -327,7 +327,7 @@
 		exc.observeCold(mem, att.sentAt, rep)
 		exc.observeLeaving(mem, rep)
 	}
-	return exc.finishAttempt(cho, rep, err, took)
+	return exc.finishAttempt(att, took)
 }
 
 // recordRelayFailure records why a peer gave no answer of an upstream, so that this request asks another peer, and others do so,
--- a/internal/route/fprelay/peers.go
+++ b/internal/route/fprelay/peers.go
@@ -200,6 +200,13 @@
 	return now.Sub(pee.provenAt) < provenFor && !pee.silent(now)
 }
 
+// Silent reports whether a peer has requests in flight and has not answered for a while.
+func (prs *Peers) Silent(pee *Peer, now time.Time) bool {
+	prs.mutex.Lock()
+	defer prs.mutex.Unlock()
+	return pee.silent(now)
+}
+
 // silent reports whether the peer has requests in flight and has not answered for a while.
 func (pee *Peer) silent(now time.Time) bool {
 	return pee.inFlight > 0 && now.Sub(pee.answeredAt) > silentAfter
