fpserve, fpconn: silence ends no call at which an upstream may be at work

What callers saw: 503 upstreamLost, outcome unknown, for calls at which upstreams were at work, 0.9 s after the last byte on their connection. A claim of such a call was settled as unknown, so that its resends were never answered either.

Cause: the ping without an answer closed the HTTP/2 connection and with it all calls on it, also those that may run once, for which no other attempt can follow, and idempotent ones whose next attempt had no budget, no other upstream or no connection. A full link or a paused process looks the same from inside. A write that was held up for 0.9 s had the same effect.

Change: fpconn still finds a silent connection after ReadIdle plus PingTimeout and replaces it at once, but says so (Conn.Silent) instead of closing it; it is closed when it is idle, or after 35 s. fpserve makes the second attempt of an idempotent call beside the first; the first answer counts, and the other attempt is ended then. Without a second attempt, or if that fails, the call waits until its deadline, and so does a call that may run once. The permit is given back at the verdict, and the slot, too, if the upstream checks fences, as before. A small answer is read to its end before the attempts are compared.

Price: an idempotent call in doubt may run at two upstreams at once; before, the first run was canceled before the second began. Calls to an upstream that is cut off for good, without another attempt, get their error at their deadline instead of after 0.9 s, and a stop waits for them.

--- a/internal/route/fpserve/answer.go
+++ b/internal/route/fpserve/answer.go
@@ -26,6 +26,7 @@
 type answer struct {
 	att *attempt
 	res *http.Response
+	err error // why the answer can't be passed on, or nil
 	env envelopeTracker
 	// buf holds a small answer, nil otherwise. It is read to its end before the caller gets any of it, so that an error
 	// or another attempt can still replace a truncated answer.
@@ -33,11 +34,14 @@
 	// recorded holds the body of a streamed answer up to maxRecordedBytes, for the record of the claim.
 	recorded []byte
 	size     int64
+	// more states that buf holds the beginning of an answer that is too large to be kept.
+	more bool
 }
 
 // receive processes an answer whose headers have arrived. It returns the push-back, which is how long the upstream asks
 // the router to wait before it retries, or 0.
-func (att *attempt) receive(res *http.Response) (time.Duration, error) {
+func (ans *answer) receive() (time.Duration, error) {
+	att, res := ans.att, ans.res
 	defer res.Body.Close()
 	rate, named := res.Header[rateHeader]
 	if named {
@@ -47,15 +51,11 @@
 	if kin, ok := refusalKinds[res.Header.Get(fpconn.RefusedHeader)]; ok {
 		return att.handleRefusal(kin, res.Header)
 	}
-	ans := &answer{
-		att: att,
-		res: res,
-	}
 	if err := ans.checkHeader(); err != nil {
 		att.finish(Result{Err: err})
 		return 0, att.recordUncertain(err)
 	}
-	if res.StatusCode == http.StatusOK || !ans.stopped() {
+	if ans.wanted() {
 		if err := ans.read(); err != nil {
 			return 0, att.handleLoss(err)
 		}
@@ -176,26 +176,52 @@
 	return nil
 }
 
-// read reads the answer to its end. A small answer is kept in memory; any other is streamed to the caller.
-func (ans *answer) read() error {
+// wanted reports whether the body is read. That of a request that the upstream has stopped is for nobody.
+func (ans *answer) wanted() bool { return ans.res.StatusCode == http.StatusOK || !ans.stopped() }
+
+// refused reports whether the upstream states that the request did not run.
+func (ans *answer) refused() bool {
+	_, ok := refusalKinds[ans.res.Header.Get(fpconn.RefusedHeader)]
+	return ok
+}
+
+// readSmall reads a small answer to its end, and the beginning of one that turns out to be larger. It sends nothing to the caller.
+func (ans *answer) readSmall() {
 	met := ans.att.exc.cal.method
-	if met.ServerStream() || met.Bundle() || ans.res.ContentLength > maxSmallBytes {
-		return ans.stream(nil)
+	if met.ServerStream() || met.Bundle() || ans.res.ContentLength > maxSmallBytes || ans.refused() || !ans.wanted() || ans.checkHeader() != nil {
+		return
 	}
 	ans.buf = bufferPool.Get().(*bytes.Buffer)
 	ans.buf.Reset()
 	num, err := io.CopyN(ans.buf, ans.res.Body, maxSmallBytes+1)
 	if err == nil {
-		return ans.stream(ans.buf.Bytes())
+		ans.more = true
+		return
 	}
 	if err != io.EOF {
-		return fperror.Wrap(fperror.AnswerTruncated, err, "the answer ended after %d bytes", num)
+		ans.err = fperror.Wrap(fperror.AnswerTruncated, err, "the answer ended after %d bytes", num)
+		return
 	}
 	ans.size = num
 	if ans.enveloped() {
 		ans.env.write(ans.buf.Bytes())
 	}
-	return ans.checkComplete()
+	ans.err = ans.checkComplete()
+}
+
+// streamed reports whether the caller gets the answer while it arrives.
+func (ans *answer) streamed() bool { return ans.buf == nil || ans.more }
+
+// read sends what readSmall has not read of the answer to the caller.
+func (ans *answer) read() error {
+	if !ans.streamed() {
+		return ans.err
+	}
+	defer ans.att.watchStream()()
+	if ans.more {
+		return ans.stream(ans.buf.Bytes())
+	}
+	return ans.stream(nil)
 }
 
 func (ans *answer) enveloped() bool { return ans.att.exc.cal.protocol.enveloped() }
--- a/internal/route/fpserve/attempt.go
+++ b/internal/route/fpserve/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,9 +23,11 @@
 	target           *Target
 	releaseAdmission func(Result)
 	id               string
-	doneReported     bool
+	doneOnce         sync.Once
 	conn             *fpconn.Conn
 	sent             time.Time
+	permitOnce       sync.Once
+	uncertain        bool // it counts among those that may have run
 }
 
 // runAttempt makes one attempt. It returns the push-back of the upstream, or 0.
@@ -134,11 +137,12 @@
 		return 0, err
 	}
 	att.sent = time.Now()
-	res, err := con.RoundTrip(req)
-	if err != nil {
-		return 0, att.handleLoss(err)
+	if con.Silent() == nil {
+		return att.handleReply(att.roundTrip(req))
 	}
-	return att.receive(res)
+	replied := make(chan reply, 1)
+	go func() { replied <- att.roundTrip(req) }()
+	return att.await(replied)
 }
 
 // checkBeforeForward runs right before the first byte is sent. The slot table may have expired since the lookup, for
@@ -201,7 +205,7 @@
 		res.Sent = true
 		res.Latency = time.Since(att.sent)
 	}
-	att.releaseAdmission(res)
+	att.returnPermit(res)
 	if res.Err != nil && fperror.KindOf(res.Err).Answer().Outcome() == fperror.NotRun {
 		att.reportDone(0, res.Err)
 		return
@@ -209,13 +213,14 @@
 	att.reportDone(res.Latency, res.Err)
 }
 
+// returnPermit returns the permit of the attempt once.
+func (att *attempt) returnPermit(res Result) {
+	att.permitOnce.Do(func() { att.releaseAdmission(res) })
+}
+
 // reportDone reports once to Target.Done that the request no longer runs on the upstream.
 func (att *attempt) reportDone(busy time.Duration, err error) {
-	if att.doneReported {
-		return
-	}
-	att.doneReported = true
-	att.target.done(busy, err)
+	att.doneOnce.Do(func() { att.target.done(busy, err) })
 }
 
 func (tar *Target) done(busy time.Duration, err error) {
--- a/internal/route/fpserve/drain_test.go
+++ b/internal/route/fpserve/drain_test.go
@@ -313,3 +313,39 @@
 		t.Errorf("shutdown: %v", err)
 	}
 }
+
+// TestLateLongCallIsAnswered guards against a call that comes late in a stop and is cut off at its end, because its work takes longer than
+// that of any call before it.
+func TestLateLongCallIsAnswered(t *testing.T) {
+	const work = 1500 * time.Millisecond
+	fak := newFakeUpstream(t, "one")
+	rou := newRouter(t, nil, fak)
+	cli := newClient(t, false)
+	for range 10 {
+		if _, err := call(rou, cli, "/demo.Test/Once", "x", newKey()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rou.callers.AskToLeave()
+	started := make(chan struct{}, 1)
+	fak.mutex.Lock()
+	fak.faultFor = func(*http.Request) fault {
+		started <- struct{}{}
+		time.Sleep(work)
+		return noFault
+	}
+	fak.mutex.Unlock()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := call(rou, cli, "/demo.Test/Once", "x", newKey())
+		answered <- err
+	}()
+	<-started
+	ended := rou.beginShutdown()
+	if err := <-answered; err != nil {
+		t.Errorf("the call got %v", err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
--- a/internal/route/fpserve/exchange.go
+++ b/internal/route/fpserve/exchange.go
@@ -13,7 +13,7 @@
 // exchange handles one call. It is used by one goroutine.
 type exchange struct {
 	ser *Server
-	ctx context.Context
+	ctx context.Context // ends also when doubted has been answered
 	cal *Call
 	wri http.ResponseWriter
 	req *http.Request
@@ -25,6 +25,7 @@
 	provenFrom    time.Time
 	answerStarted bool // the header of the answer has been sent to the caller
 	answer        *answer
+	doubted       *doubtedAttempt
 }
 
 // serve makes the attempts and sends an answer or an error to the caller.
@@ -44,24 +45,33 @@
 	}
 }
 
-// runAttempts makes attempts as long as they are safe and Config.Retry allows them. It returns nil once there is a
-// complete answer.
+// runAttempts makes attempts as long as they are safe and Config.Retry allows them, and then waits for the answer to the doubted one. It
+// returns nil once there is a complete answer.
 func (exc *exchange) runAttempts() error {
 	for {
 		pushBack, err := exc.runAttempt()
-		if err == nil {
-			exc.reportSuccess()
-			return nil
+		if err != nil && exc.prepareRetry(err, pushBack) {
+			exc.ser.cfg.Count("retried")
+			continue
 		}
-		if !exc.mayRetry(err) {
-			return err
+		if err != nil && exc.doubted != nil {
+			err = exc.awaitDoubted(err)
 		}
-		delay, ok := exc.ser.cfg.Retry(exc.cal, err, pushBack)
-		if !ok || !exc.sleep(delay) {
-			return err
+		if err == nil {
+			exc.endDoubted()
+			exc.reportSuccess()
 		}
-		exc.ser.cfg.Count("retried")
+		return err
+	}
+}
+
+// prepareRetry waits until another attempt may be made, and returns false if there is to be none.
+func (exc *exchange) prepareRetry(err error, pushBack time.Duration) bool {
+	if !exc.mayRetry(err) {
+		return false
 	}
+	delay, ok := exc.ser.cfg.Retry(exc.cal, err, pushBack)
+	return ok && exc.sleep(delay)
 }
 
 // reportSuccess reports a complete answer of an upstream to Config.ReportSuccess. A recorded answer does not add to the
--- a/internal/route/fpserve/lost.go
+++ b/internal/route/fpserve/lost.go
@@ -17,7 +17,7 @@
 // deadline.
 const cancelTimeout = 2 * time.Second
 
-// ErrSilent marks an attempt that was lost because nothing arrived on its connection, which the upstream did not end.
+// ErrSilent marks an attempt that was lost or is doubted because nothing arrived on its connection, which the upstream did not end.
 var ErrSilent = errors.New("the connection went silent")
 
 // handleLoss handles an attempt that was sent but got no complete answer. The request may still run, so it is canceled
@@ -36,7 +36,10 @@
 
 // recordUncertain records that the request may have run, and returns err.
 func (att *attempt) recordUncertain(err error) error {
-	att.exc.cal.uncertain++
+	if !att.uncertain {
+		att.uncertain = true
+		att.exc.cal.uncertain++
+	}
 	if att.exc.uncertainErr == nil {
 		att.exc.uncertainErr = err
 	}
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -31,6 +31,8 @@
 	client *http.ClientConn
 	socket *socket
 	http1  bool
+	// silent is closed when the connection is found silent. It stays nil for HTTP/1.1, which has no pings.
+	silent chan struct{}
 }
 
 // RefusedHeader is the header of an answer by which an upstream states that it did not run the request.
@@ -96,7 +98,7 @@
 	if con.http1 && !con.taken.CompareAndSwap(false, true) {
 		return false
 	}
-	if con.draining.Load() || con.client.Reserve() != nil {
+	if con.draining.Load() || con.isSilent() || con.client.Reserve() != nil {
 		con.taken.Store(false)
 		return false
 	}
@@ -125,6 +127,9 @@
 func (con *Conn) watch() {
 	con.client.SetStateHook(func(*http.ClientConn) { con.pool.onStateChange(con) })
 	con.pool.onStateChange(con)
+	if !con.http1 {
+		con.watchSilence()
+	}
 }
 
 // connect opens a connection and requests the upstream's health endpoint on it. HTTP/2 is tried first, because only
@@ -161,6 +166,9 @@
 		socket: soc.Load(),
 		http1:  http1,
 	}
+	if !http1 {
+		con.silent = make(chan struct{})
+	}
 	if err := con.probe(ctx); err != nil {
 		_ = cli.Close()
 		return nil, fperror.Wrap(fperror.ConnectFailed, errors.Join(errNoAnswer, err), "connect to %s", pl.upstream.GetName())
--- a/internal/upstream/fpconn/pool.go
+++ b/internal/upstream/fpconn/pool.go
@@ -197,7 +197,7 @@
 // onStateChange is called when a connection has capacity again or breaks. Some calls of the connection that are made
 // under the mutex invoke it, so it takes no lock.
 func (pl *Pool) onStateChange(con *Conn) {
-	if pl.retired.Load() || con.draining.Load() {
+	if pl.retired.Load() || con.draining.Load() || con.isSilent() {
 		con.closeIfIdle()
 		return
 	}
--- a/internal/upstream/fpconn/pools.go
+++ b/internal/upstream/fpconn/pools.go
@@ -1,6 +1,6 @@
 // Package fpconn keeps connections to upstreams. Each upstream has a pool with a limited number of connections, some of
 // which are opened ahead of demand. A connection is used for requests only after the upstream has answered a probe on
-// it, and a connection that goes silent is closed and replaced.
+// it. A connection that goes silent is replaced at once, and closed when the requests on it have ended.
 //
 // ExclusivePool is a separate kind of pool, whose connections carry one request at a time and are opened on demand.
 package fpconn
@@ -49,7 +49,7 @@
 	// ReadIdle is the time without received data after which an HTTP/2 connection is pinged, and the interval between
 	// probes of idle HTTP/1.1 connections. 0: 750 ms.
 	ReadIdle time.Duration
-	// PingTimeout is how long the answer to a ping or probe may take. 0: 750 ms.
+	// PingTimeout is how long the answer to a ping or probe may take before the connection counts as silent. 0: 750 ms.
 	PingTimeout time.Duration
 	// MinConnections is the number of connections kept open to each upstream, within its limit. 0: 2.
 	MinConnections int
@@ -206,8 +206,8 @@
 		Protocols:              &pro,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  cfg.ReadIdle,
-			PingTimeout:      cfg.PingTimeout,
-			WriteByteTimeout: cfg.ReadIdle + cfg.PingTimeout,
+			PingTimeout:      maxSilence,
+			WriteByteTimeout: maxSilence,
 		},
 	}
 }
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -40,6 +40,7 @@
 	endedByPeer   atomic.Bool
 	received      atomic.Int64
 	receivedAt    atomic.Int64 // latest receipt, as the time since processStart; before that, the opening
+	writingSince  atomic.Int64 // begin of the write in progress, as the time since processStart, or 0
 }
 
 // processStart is a time of this process from which receipts are counted, by the monotonic clock.
@@ -50,6 +51,16 @@
 	return time.Duration(soc.receivedAt.Load()) >= since.Sub(processStart)
 }
 
+// quietFor returns for how long nothing has been received, or a write has been in progress, whichever is longer.
+func (soc *socket) quietFor() time.Duration {
+	now := time.Since(processStart)
+	quiet := now - time.Duration(soc.receivedAt.Load())
+	if since := time.Duration(soc.writingSince.Load()); since > 0 {
+		quiet = max(quiet, now-since)
+	}
+	return quiet
+}
+
 // Read counts the received bytes and records whether the peer ended the connection.
 func (soc *socket) Read(buf []byte) (int, error) {
 	num, err := soc.Conn.Read(buf)
@@ -87,7 +98,9 @@
 func (soc *socket) Write(buf []byte) (int, error) {
 	soc.writing.Lock()
 	defer soc.writing.Unlock()
+	soc.writingSince.Store(int64(time.Since(processStart)))
 	num, err := soc.Conn.Write(buf)
+	soc.writingSince.Store(0)
 	soc.recordError(err)
 	if soc.writeFailure == nil {
 		soc.writeFailure = err
