fplog: the folders above a new log are durable, too

A control VM that creates its data folder synced the entry of the log's folder in it, and not that of the data folder in its parent (fpcontrol.New created both with MkdirAll; fplog.Open synced one parent). By POSIX, a power loss of all VMs may then take the whole log of each of them, with all that was acknowledged.

fplog.Open creates each missing folder above the log and syncs its parent. A folder that exists isn't synced again but for that of the log, so a process that ends between the creation of the data folder and the sync leaves this open.

Test: TestCreatedFoldersAreDurable; before: 'the entry of .../site/data was not synced', '.../site was not synced'.

--- a/internal/control/fplog/log.go
+++ b/internal/control/fplog/log.go
@@ -122,10 +122,7 @@
 }
 
 func (lg *Log) open() error {
-	if err := os.MkdirAll(lg.dir, 0o700); err != nil {
-		return err
-	}
-	if err := lg.syncDir(filepath.Dir(lg.dir)); err != nil {
+	if err := lg.makeDir(lg.dir); err != nil {
 		return err
 	}
 	if err := lg.lockDir(); err != nil {
@@ -253,6 +250,23 @@
 	return err
 }
 
+// makeDir creates a folder and its missing parents unless it exists, and returns once the entry of each of them in its parent is
+// durable.
+func (lg *Log) makeDir(dir string) error {
+	parent := filepath.Dir(dir)
+	err := os.Mkdir(dir, 0o700)
+	if os.IsNotExist(err) {
+		if err := lg.makeDir(parent); err != nil {
+			return err
+		}
+		err = os.Mkdir(dir, 0o700)
+	}
+	if err != nil && !os.IsExist(err) {
+		return err
+	}
+	return lg.syncDir(parent)
+}
+
 // syncDir syncs a folder, which makes the creation, renaming and removal of files in it durable.
 func (lg *Log) syncDir(dir string) error {
 	fil, err := os.Open(dir)
--- a/internal/control/fplog/log_test.go
+++ b/internal/control/fplog/log_test.go
@@ -566,3 +566,24 @@
 		t.Errorf("got commit index %d, and %d after the log was opened again, want 19", before, lg.Commit())
 	}
 }
+
+// TestCreatedFoldersAreDurable guards against a log that is gone after a power loss because a folder above it was created without a sync
+// of the parent.
+func TestCreatedFoldersAreDurable(t *testing.T) {
+	root := t.TempDir()
+	durable := map[string]bool{}
+	lg := mustOpen(t, filepath.Join(root, "site", "data", "group"), Config{
+		Sync: func(fil *os.File) error {
+			entries, _ := os.ReadDir(fil.Name())
+			for _, ent := range entries {
+				durable[filepath.Join(fil.Name(), ent.Name())] = true
+			}
+			return fil.Sync()
+		},
+	})
+	for path := lg.dir; path != root; path = filepath.Dir(path) {
+		if !durable[path] {
+			t.Errorf("the entry of %s was not synced", path)
+		}
+	}
+}
--- a/internal/node/fpcontrol/control.go
+++ b/internal/node/fpcontrol/control.go
@@ -170,11 +170,7 @@
 		Evacuate: con.evacuate,
 		Timeout:  controlTimeout,
 	}
-	folder := filepath.Join(cfg.DataFolder, groupName)
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return nil, fperror.Wrap(fperror.StorageFailed, err, "create the data folder")
-	}
-	sto, err := fplog.Open(folder, fplog.Config{
+	sto, err := fplog.Open(filepath.Join(cfg.DataFolder, groupName), fplog.Config{
 		Sync:  cfg.Sync,
 		Write: cfg.Write,
 	})
