fpcontrol: simulation of power losses beside lost disks

Disks of the simulated control VMs keep what was synced: bytes of files up to their last sync, and entries of folders at their last sync; of the rest an arbitrary part, if any. All VMs lose power within 400 ms after an acknowledgement, and as many as the group tolerates lose their disks (one of three voters or two of five; one less while a replacement has not had catch_up).

--- a/internal/node/fpcontrol/memberssim_test.go
+++ b/internal/node/fpcontrol/memberssim_test.go
@@ -46,6 +46,7 @@
 	control *Control // nil while the VM is down
 	cut     bool     // no message reaches the VM or leaves it
 	stop    func()
+	disk    *simDisk // nil: the VM's files survive everything
 }
 
 var (
@@ -118,11 +119,12 @@
 		VM:         vmd.name,
 		Seeds:      seeds,
 		FirstStart: first,
-		DataFolder: filepath.Join(sim.folder, vmd.name),
+		DataFolder: vmd.dataFolder(),
+		DataCentre: simDataCentre,
 		Losses:     sim.losses,
 		CatchUp:    catchUp,
 		Log:        vmd.log(),
-		Sync:       func(*os.File) error { return nil },
+		Sync:       vmd.disk.sync,
 	})
 	if err != nil {
 		sim.t.Fatal(err)
@@ -146,7 +148,7 @@
 	vmd.stop = func() {
 		cancel()
 		loops.Wait()
-		if err := <-done; err != nil {
+		if err := <-done; err != nil && !vmd.disk.isOff() {
 			sim.t.Errorf("%s: %v", vmd.name, err)
 		}
 		_ = con.storage.Close()
