fpcontrol: a VM that has stopped stays lost until it is back

Cause: the request of a VM to leave counted for 2 s after it was made. The VM ends up to 2 s later, and its silence counts only after 2 s more. A leader that came in between took the VM for alive: it added the successor as a follower instead of a voter, and replaced the vote only at the end of catch_up, if no further change of the leader ended that.

Change: a VM that has asked to leave counts as lost as soon as it takes no messages, for as long as its silence alone doesn't count yet, and no longer once it takes messages later than 2 s after its request. A VM that restarts in place is handled as before.

TestStoppedVMStaysLost; before: 'lost 2.5s after its request: false, want true' in two of five cases.

--- a/internal/node/fpcontrol/contact.go
+++ b/internal/node/fpcontrol/contact.go
@@ -76,6 +76,9 @@
 		con.cfg.Log.Info("control VM reached", zap.String("peer", vm))
 	}
 	con.contacts[vm] = contact{}
+	if at, leaves := con.leaveRequests[vm]; leaves && sent.Sub(at) > leaveRequestTimeout {
+		delete(con.leaveRequests, vm)
+	}
 }
 
 // silences returns the control VMs that take no messages of this VM, if it leads.
--- a/internal/node/fpcontrol/contact_test.go
+++ b/internal/node/fpcontrol/contact_test.go
@@ -114,3 +114,73 @@
 		})
 	}
 }
+
+// TestStoppedVMStaysLost guards against a control VM that keeps its vote for seconds after a planned stop, because its request to leave
+// has expired and it has not been silent for long enough.
+func TestStoppedVMStaysLost(t *testing.T) {
+	lost := errors.New("connection refused")
+	for _, tes := range []struct {
+		name string
+		// takes is how long the VM takes messages after its request, and from is when this VM begins to send them.
+		takes, from time.Duration
+		after       time.Duration
+		want        bool
+	}{
+		{
+			name:  "stopped after its request",
+			takes: 1500 * time.Millisecond,
+			after: leaveRequestTimeout + 500*time.Millisecond,
+			want:  true,
+		},
+		{
+			name:  "stopped before this VM led",
+			from:  leaveRequestTimeout + 200*time.Millisecond,
+			after: leaveRequestTimeout + 500*time.Millisecond,
+			want:  true,
+		},
+		{
+			name:  "takes messages",
+			takes: time.Hour,
+			after: leaveRequestTimeout + 500*time.Millisecond,
+		},
+		{
+			name:  "loses messages after it went on",
+			takes: leaveRequestTimeout + 500*time.Millisecond,
+			after: leaveRequestTimeout + 1500*time.Millisecond,
+		},
+		{
+			name:  "request is old",
+			from:  leaveSilenceTimeout + time.Second,
+			after: leaveSilenceTimeout + 1500*time.Millisecond,
+		},
+	} {
+		t.Run(tes.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				con := &Control{
+					cfg: Config{
+						Log: zap.NewNop(),
+					},
+					contacts:      map[string]contact{},
+					leaveRequests: map[string]time.Time{},
+				}
+				con.recordLeave("other")
+				if !con.absent("other") {
+					t.Error("not lost after its request")
+				}
+				began := time.Now()
+				time.Sleep(tes.from)
+				for time.Since(began) < tes.after {
+					time.Sleep(groupHeartbeat)
+					if time.Since(began) <= tes.takes {
+						con.recordContact("other", time.Now(), nil)
+					} else {
+						con.recordContact("other", time.Now(), lost)
+					}
+				}
+				if got := con.absent("other"); got != tes.want {
+					t.Errorf("lost %v after its request: %t, want %t", time.Since(began), got, tes.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/fpcontrol/members.go
+++ b/internal/node/fpcontrol/members.go
@@ -35,8 +35,11 @@
 	leaveTimeout = time.Second
 	// leaveInterval is the time between two requests of a VM that stops.
 	leaveInterval = 100 * time.Millisecond
-	// leaveRequestTimeout is how long the leader takes a VM that stops for lost. Afterwards its silence counts.
+	// leaveRequestTimeout is how long the leader takes a VM that stops for lost although it takes messages.
 	leaveRequestTimeout = 2 * time.Second
+	// leaveSilenceTimeout is how long a VM that stops counts as lost as soon as it takes no messages. Afterwards it has been silent for
+	// long enough.
+	leaveSilenceTimeout = 2*stopTimeout + maxSilentAfter
 )
 
 // join asks the other control VMs to add this VM to the group whenever it is not a member or knows no leader, until ctx ends.
@@ -175,8 +178,10 @@
 		return silence
 	}
 	since := time.Since(at)
-	if since > leaveRequestTimeout {
+	if since > leaveSilenceTimeout {
 		delete(con.leaveRequests, vm)
+	}
+	if since > leaveSilenceTimeout || since > leaveRequestTimeout && silence == 0 {
 		return silence
 	}
 	return max(silence, con.silentAfter()+since+1)
