--- a/internal/route/fpforward/stop.go
+++ b/internal/route/fpforward/stop.go
@@ -26,7 +26,7 @@
 	times atomic.Pointer[stopTimes]
 	// halfPassed is closed at half of the stop.
 	halfPassed chan struct{}
-	// ended ends at that time.
+	// ended ends when the requests in flight are ended.
 	ended  context.Context
 	cancel context.CancelFunc
 }
