fpserve: more cases of stalled calls, with upstreams that shed, crash or truncate

The requests of TestSilentConnections give up a silent connection, as fpserve does, since it doesn't end them any more; the bound of 2 s for its replacement is as before.

--- a/internal/route/fpserve/stall_test.go
+++ b/internal/route/fpserve/stall_test.go
@@ -95,34 +95,47 @@
 // stallCase is a call whose upstream works while this VM hears nothing for longer than it takes to find a connection silent.
 type stallCase struct {
 	path     string
-	others   bool // there is another upstream
-	free     bool // the other upstream does not stall
-	mayRetry bool // the budget allows another attempt
-	stopping bool // a stop begins right before the stall
+	others   bool  // there is another upstream
+	free     bool  // the other upstream does not stall
+	mayRetry bool  // the budget allows another attempt
+	stopping bool  // a stop begins right before the stall
+	other    fault // what the other upstream does with a call
 }
 
 func (cas stallCase) String() string {
-	return fmt.Sprintf("%s, other upstream %t, free %t, retry %t, stop %t", cas.path, cas.others, cas.free, cas.mayRetry, cas.stopping)
+	return fmt.Sprintf("%s, other upstream %t, free %t, retry %t, stop %t, fault %d", cas.path, cas.others, cas.free, cas.mayRetry, cas.stopping, cas.other)
 }
 
 // TestStallEndsNoCall guards against calls that are answered in the upstream's place while it works on them, because their connection
 // was silent for a while.
 func TestStallEndsNoCall(t *testing.T) {
+	var cases []stallCase
 	for _, path := range []string{"/demo.Test/Idem", "/demo.Test/Once", "/demo.Keyed/Get", "/demo.Keyed/Put"} {
 		for num := range 12 {
-			cas := stallCase{
+			cases = append(cases, stallCase{
 				path:     path,
 				others:   num/4 > 0,
 				free:     num/4 > 1,
 				mayRetry: num&1 > 0,
 				stopping: num&2 > 0,
-			}
-			t.Run(cas.String(), func(t *testing.T) {
-				t.Parallel()
-				cas.play(t)
+			})
+		}
+		for _, fau := range []fault{shedRequest, closeAfterRun, truncateAnswer} {
+			cases = append(cases, stallCase{
+				path:     path,
+				others:   true,
+				free:     true,
+				mayRetry: true,
+				other:    fau,
 			})
 		}
 	}
+	for _, cas := range cases {
+		t.Run(cas.String(), func(t *testing.T) {
+			t.Parallel()
+			cas.play(t)
+		})
+	}
 }
 
 func (cas stallCase) play(t *testing.T) {
@@ -138,6 +151,9 @@
 		fak.faultFor = func(*http.Request) fault {
 			started <- struct{}{}
 			time.Sleep(work)
+			if num > 0 {
+				return cas.other
+			}
 			return noFault
 		}
 		upstreams = append(upstreams, fak)
--- a/internal/upstream/fpconn/conn.go
+++ b/internal/upstream/fpconn/conn.go
@@ -204,7 +204,7 @@
 
 // Do sends one request on a connection of the pool, for clients of the upstream's own services. If no connection could
 // be reserved, the error is of kind ConnectFailed and nothing was sent; any other error does not tell whether the
-// request ran.
+// request ran. The context of the request has to bound the wait, as a silent connection does not end it.
 func (pl *Pool) Do(req *http.Request) (*http.Response, error) {
 	con, err := pl.Reserve(req.Context(), nil)
 	if err != nil {
--- a/internal/upstream/fpconn/pools_test.go
+++ b/internal/upstream/fpconn/pools_test.go
@@ -102,11 +102,21 @@
 	return pls
 }
 
+// get sends a request and gives it up when its connection goes silent.
 func get(ctx context.Context, pl *fpconn.Pool) error {
 	con, err := pl.Reserve(ctx, nil)
 	if err != nil {
 		return err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-con.Silent():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	return getOn(ctx, con)
 }
 
