fpconn: a lost keep-alive probe ends no call over HTTP/1.1

Found by reading; TestLostProbeEndsNoRequest covers the same Dial.

Change: one setting for all connections to upstreams, nine probes.

--- a/internal/bench/fpcut/paths.go
+++ b/internal/bench/fpcut/paths.go
@@ -77,7 +77,7 @@
 	return pat.loss, pat.healed
 }
 
-// Dial opens a connection as fpconn.DialExclusive does, unless the path is lost.
+// Dial opens a connection as fpconn.Dial does, unless the path is lost.
 func (pat *Paths) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	switch loss, _ := pat.state(address); loss {
 	case Well:
@@ -95,7 +95,7 @@
 			Err: ctx.Err(),
 		}
 	}
-	tcp, err := fpconn.DialExclusive(ctx, network, address)
+	tcp, err := fpconn.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/fpgate/gate.go
+++ b/internal/node/fpgate/gate.go
@@ -53,7 +53,7 @@
 // New returns the entry VM with the given settings.
 func New(set *fpgateway.Settings, log *zap.Logger) *Gate { return newGate(set, log, nil) }
 
-// newGate is New with the function that opens connections to upstreams; nil stands for fpconn.DialExclusive.
+// newGate is New with the function that opens connections to upstreams; nil stands for fpconn.Dial.
 func newGate(set *fpgateway.Settings, log *zap.Logger, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Gate {
 	gat := &Gate{
 		set: set,
--- a/internal/node/fpgate/run.go
+++ b/internal/node/fpgate/run.go
@@ -40,7 +40,7 @@
 type System struct {
 	// Sync syncs a file of the log. Nil: (*os.File).Sync.
 	Sync func(fil *os.File) error
-	// Dial opens connections to upstreams. Nil: fpconn.DialExclusive.
+	// Dial opens connections to upstreams. Nil: fpconn.Dial.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
--- a/internal/route/fpforward/forwarder.go
+++ b/internal/route/fpforward/forwarder.go
@@ -50,7 +50,7 @@
 	// ResetWait is how long, beyond the time to open it, a new connection to an upstream that may be full is watched for a
 	// reset before a request is sent. 0 means 3 ms.
 	ResetWait time.Duration
-	// Dial opens connections to upstreams. Nil: fpconn.DialExclusive. Tests replace it to simulate lost paths.
+	// Dial opens connections to upstreams. Nil: fpconn.Dial. Tests replace it to simulate lost paths.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Log  *zap.Logger
 }
--- a/internal/upstream/fpconn/exclusive.go
+++ b/internal/upstream/fpconn/exclusive.go
@@ -28,23 +28,6 @@
 	onceReuseFraction = 0.6
 )
 
-// exclusiveKeepAlive detects a connection whose path is lost. Its requests end at their deadlines, which are sooner in most cases: on a
-// path with losses a few packets in a row get lost while an upstream is at work.
-var exclusiveKeepAlive = net.KeepAliveConfig{
-	Enable:   true,
-	Idle:     time.Second,
-	Interval: time.Second,
-	Count:    9,
-}
-
-// DialExclusive opens a TCP connection for an ExclusivePool. It sets no TCP_USER_TIMEOUT, which would replace the number of probes.
-func DialExclusive(ctx context.Context, network, address string) (net.Conn, error) {
-	dia := net.Dialer{
-		KeepAliveConfig: exclusiveKeepAlive,
-	}
-	return dia.DialContext(ctx, network, address)
-}
-
 // ExclusivePoolConfig configures an ExclusivePool.
 type ExclusivePoolConfig struct {
 	// Upstream is the name of the upstream in error messages.
@@ -63,7 +46,7 @@
 	// ID returns the id by which the header of a request or of an answer names the request, or "". Nil: answers name no requests, and
 	// none is skipped as a stray one.
 	ID func(hea http.Header) string
-	// Dial opens connections. Nil: DialExclusive. Tests replace it to simulate lost paths.
+	// Dial opens connections. Nil: Dial of this package. Tests replace it to simulate lost paths.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -84,7 +67,7 @@
 func NewExclusivePool(cfg ExclusivePoolConfig) *ExclusivePool {
 	setDefault(&cfg.ConnectTimeout, defaultConnectTimeout)
 	if cfg.Dial == nil {
-		cfg.Dial = DialExclusive
+		cfg.Dial = Dial
 	}
 	return &ExclusivePool{
 		cfg: cfg,
--- a/internal/upstream/fpconn/socket.go
+++ b/internal/upstream/fpconn/socket.go
@@ -12,13 +12,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// keepAlive detects a silent HTTP/1.1 connection with a request in flight, where silence cannot otherwise be told from
-// a slow answer. Its durations are whole seconds: 1 s of silence and 1 s for the answer to the TCP keep-alive probe.
+// keepAlive detects a connection whose path is lost for good. A request on it mostly ends sooner, at its deadline: on a path that loses
+// packets a few probes in a row get lost while the upstream is at work.
 var keepAlive = net.KeepAliveConfig{
 	Enable:   true,
 	Idle:     time.Second,
 	Interval: time.Second,
-	Count:    1,
+	Count:    9,
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
