--- a/internal/route/fpforward/forwarder_test.go
+++ b/internal/route/fpforward/forwarder_test.go
@@ -32,6 +32,8 @@
 	// workTime is the processing time of requests at workers that are added, and dataCentre their location.
 	workTime   time.Duration
 	dataCentre string
+	// workerAddress is the address at which they listen. Empty: one with a free port of 127.0.0.1.
+	workerAddress string
 }
 
 // newHarness returns a forwarder with routes of the kinds idempotent, once and upload to the service "work", and an idempotent
@@ -131,6 +133,7 @@
 			Id:          fmt.Sprintf("%s-%d", service, len(har.workers)),
 			Born:        1,
 			Service:     service,
+			Address:     har.workerAddress,
 			DataCentre:  har.dataCentre,
 			Concurrency: 4,
 		},
--- a/internal/route/fpforward/relay_test.go
+++ b/internal/route/fpforward/relay_test.go
@@ -319,6 +319,8 @@
 func TestRelayBesideEndedUpstreams(t *testing.T) {
 	par := newRelayPair(t)
 	par.addWorker("work", nil)
+	// Other tests listen on 127.0.0.1, so that none answers at the address of an ended worker.
+	par.workerAddress = "127.0.0.2:0"
 	var ended []*fpworker.Worker
 	for range 3 {
 		wor := par.addWorker("keys", nil)
