--- a/internal/route/fpforward/attempt.go
+++ b/internal/route/fpforward/attempt.go
@@ -84,7 +84,7 @@
 	return nil, failure
 }
 
-// changes are closed when there may be a way for another attempt.
+// changes are channels of which one is closed when there may be a way for another attempt.
 type changes struct {
 	view, restored <-chan struct{}
 }
--- a/internal/route/fpforward/ended.go
+++ b/internal/route/fpforward/ended.go
@@ -34,7 +34,7 @@
 	case exc.fwd.stop.ended.Err() != nil && exc.request.Context().Err() == nil:
 		return endedByStop
 	default:
-		return endedByCaller // its connection has ended before the turn of a pipelined request
+		return endedByCaller // at the latest with its connection, before the turn of a pipelined request
 	}
 }
 
